--- /dev/null
+++ b/src/ragwortstand/api.py
@@ -0,0 +1,39 @@
+"""ragwortstand.api: read and check configurations."""
+
+import pydantic
+
+from ragwortstand.exceptions import ConfigurationError, Fault
+from ragwortstand.models import MAX_CONFIGURATION_BYTES, Configuration
+from ragwortstand.validation import faults_of
+
+
+def parse(text: str | bytes) -> Configuration:
+    """Read a configuration and check the whole of it.
+
+    :param text: JSON text.
+    :returns: a configuration without faults.
+    :raises ConfigurationError: with every fault that was found.
+    """
+    if len(text) > MAX_CONFIGURATION_BYTES:
+        problem = f'larger than {MAX_CONFIGURATION_BYTES} bytes'
+        raise ConfigurationError([Fault('$', problem)])
+    try:
+        mesh = Configuration.model_validate_json(text)
+    except pydantic.ValidationError as error:
+        raise ConfigurationError(faults_of(error)) from error
+    faults = mesh.faults()
+    if faults:
+        raise ConfigurationError(faults)
+    return mesh
+
+
+def check(text: str | bytes) -> tuple[Fault, ...]:
+    """Return every fault of a configuration; empty when it is sound.
+
+    :param text: JSON text.
+    """
+    try:
+        parse(text)
+    except ConfigurationError as error:
+        return error.faults
+    return ()
--- /dev/null
+++ b/src/ragwortstand/backend_servers/__init__.py
@@ -0,0 +1,17 @@
+"""ragwortstand.backend_servers: the backend server beside the daemon."""
+
+from ragwortstand.backend_servers.admission import Load
+from ragwortstand.backend_servers.connections import end_to_end
+from ragwortstand.backend_servers.server import (
+    Announcement,
+    BackendServer,
+    BackendState,
+)
+
+__all__ = (
+    'Announcement',
+    'BackendServer',
+    'BackendState',
+    'Load',
+    'end_to_end',
+)
--- /dev/null
+++ b/src/ragwortstand/backend_servers/admission.py
@@ -0,0 +1,278 @@
+"""ragwortstand.backend_servers.admission: slots, queues and shares by rank."""
+
+import math
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from typing import Protocol
+
+import anyio
+
+from ragwortstand.models import Rank
+from ragwortstand.verdicts import Cause, Refused
+
+_MEAN_WEIGHT = 0.1
+_MIN_RETRY_AFTER_S = 0.1
+_COLD_SHARE = 0.2
+
+
+@dataclass(slots=True, eq=False)
+class Ticket:
+    """A place in a queue, then a slot.
+
+    :param rank: rank of the work.
+    :param granted: set when the ticket holds a slot.
+    :param granted_at_s: when it was granted; None while it is queued.
+    """
+
+    rank: str
+    granted: anyio.Event = field(default_factory=anyio.Event)
+    granted_at_s: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Load:
+    """How busy a backend server is.
+
+    :param slots: slots that may be used now.
+    :param in_use: slots in use.
+    :param queued: requests in all queues.
+    :param wait_s: expected wait of a newcomer of the least urgent rank.
+    """
+
+    slots: int
+    in_use: int
+    queued: int
+    wait_s: float
+
+    @property
+    def busy(self) -> float:
+        """Return slots in use and requests queued, per slot."""
+        return (self.in_use + self.queued) / max(1, self.slots)
+
+
+@dataclass(slots=True)
+class _Line:
+    """Queue and accounts of one rank."""
+
+    rank: Rank
+    queue: deque[Ticket] = field(default_factory=deque)
+    in_use: int = 0
+    mean_service_s: float = 0.0
+
+    @property
+    def demand(self) -> int:
+        return self.in_use + len(self.queue)
+
+
+class Admission(Protocol):
+    """Decides who gets the slots of a backend server."""
+
+    def configure(self, ranks: Iterable[Rank]) -> None:
+        """Take over the ranks of a new configuration."""
+
+    def open(self, slots: int, cold_start_s: float, now_s: float) -> None:
+        """Set the slots of a backend server that has become ready."""
+
+    def enter(
+        self,
+        rank: str,
+        deadline_s: float,
+        now_s: float,
+    ) -> Ticket | Refused:
+        """Queue a request or refuse it at once."""
+
+    def leave(self, ticket: Ticket, now_s: float) -> None:
+        """Give a ticket back, whether it was granted or not."""
+
+    def load(self, now_s: float) -> Load:
+        """Return how busy the backend server is."""
+
+
+class ShareAdmission:
+    """Guaranteed shares by rank; shares in disuse are lent by urgency.
+
+    A free slot goes first to ranks below their guaranteed share and then to
+    the others, both times in the order of urgency. A request is refused on
+    arrival when its expected wait exceeds the deadline, or the target of its
+    rank.
+    """
+
+    def __init__(self) -> None:
+        """Start without slots and ranks."""
+        self._lines: dict[str, _Line] = {}
+        self._slots = 0
+        self._cold_start_s = 0.0
+        self._opened_at_s = 0.0
+        self._in_use = 0
+
+    def configure(self, ranks: Iterable[Rank]) -> None:
+        """Take over the ranks of a new configuration.
+
+        :param ranks: from the most to the least urgent.
+        """
+        lines: dict[str, _Line] = {}
+        for rank in ranks:
+            line = self._lines.pop(rank.name, None) or _Line(rank)
+            line.rank = rank
+            lines[rank.name] = line
+        for name, line in self._lines.items():
+            if line.demand:
+                lines[name] = line
+        self._lines = lines
+
+    def open(self, slots: int, cold_start_s: float, now_s: float) -> None:
+        """Set the slots of a backend server that has become ready.
+
+        :param slots: requests that it runs at once.
+        :param cold_start_s: time over which the slots rise to all.
+        :param now_s: present time.
+        """
+        self._slots = slots
+        self._cold_start_s = cold_start_s
+        self._opened_at_s = now_s
+        self._grant(now_s)
+
+    def enter(
+        self,
+        rank: str,
+        deadline_s: float,
+        now_s: float,
+    ) -> Ticket | Refused:
+        """Queue a request or refuse it at once.
+
+        :param rank: name of its rank.
+        :param deadline_s: when the answer is of no more use.
+        :param now_s: present time.
+        """
+        line = self._line(rank)
+        wait_s = self._wait_s(line, now_s)
+        finish_s = wait_s + line.mean_service_s
+        remaining_s = deadline_s - now_s
+        bound_s = min(remaining_s, max(line.rank.target_s, remaining_s / 10))
+        if finish_s > remaining_s or (wait_s and finish_s > bound_s):
+            late_s = max(_MIN_RETRY_AFTER_S, finish_s - bound_s)
+            return Refused(Cause.OVERLOADED, late_s)
+        ticket = Ticket(rank)
+        line.queue.append(ticket)
+        self._grant(now_s)
+        return ticket
+
+    def leave(self, ticket: Ticket, now_s: float) -> None:
+        """Give a ticket back, whether it was granted or not.
+
+        :param ticket: the ticket that `enter` returned.
+        :param now_s: present time.
+        """
+        line = self._lines[ticket.rank]
+        if ticket.granted_at_s is None:
+            line.queue.remove(ticket)
+            return
+        line.in_use -= 1
+        self._in_use -= 1
+        taken_s = now_s - ticket.granted_at_s
+        weight = _MEAN_WEIGHT if line.mean_service_s else 1.0
+        line.mean_service_s += weight * (taken_s - line.mean_service_s)
+        self._grant(now_s)
+
+    def load(self, now_s: float) -> Load:
+        """Return how busy the backend server is.
+
+        :param now_s: present time.
+        """
+        queued = sum(len(line.queue) for line in self._lines.values())
+        waits = [self._wait_s(line, now_s) for line in self._lines.values()]
+        return Load(
+            self._usable(now_s),
+            self._in_use,
+            queued,
+            max(waits, default=0.0),
+        )
+
+    def _line(self, rank: str) -> _Line:
+        line = self._lines.get(rank)
+        if line is None:
+            line = _Line(Rank(name=rank))
+            self._lines[rank] = line
+        return line
+
+    def _usable(self, now_s: float) -> int:
+        age_s = now_s - self._opened_at_s
+        if age_s >= self._cold_start_s or not self._slots:
+            return self._slots
+        warmth = age_s / self._cold_start_s
+        share = _COLD_SHARE + (1 - _COLD_SHARE) * warmth
+        return max(1, math.floor(self._slots * share))
+
+    def _wait_s(self, line: _Line, now_s: float) -> float:
+        usable = self._usable(now_s)
+        if not usable:
+            return math.inf
+        ahead = len(line.queue)
+        if not ahead and self._in_use < usable:
+            return 0.0
+        slots = self._available_to(line, usable)
+        return (ahead + 1) * line.mean_service_s / slots
+
+    def _available_to(self, line: _Line, usable: int) -> float:
+        """Return the slots that a rank can count on under present demand."""
+        taken = 0.0
+        is_more_urgent = True
+        for other in self._lines.values():
+            if other is line:
+                is_more_urgent = False
+            elif is_more_urgent:
+                taken += other.demand
+            else:
+                guaranteed = other.rank.guaranteed_share * usable
+                taken += min(other.demand, guaranteed)
+        own = line.rank.guaranteed_share * usable
+        return max(own, usable - taken, 1 / usable)
+
+    def _grant(self, now_s: float) -> None:
+        usable = self._usable(now_s)
+        while self._in_use < usable:
+            line = self._next_line(usable)
+            if line is None:
+                return
+            ticket = line.queue.popleft()
+            ticket.granted_at_s = now_s
+            line.in_use += 1
+            self._in_use += 1
+            ticket.granted.set()
+
+    def _next_line(self, usable: int) -> _Line | None:
+        waiting = [line for line in self._lines.values() if line.queue]
+        for line in waiting:
+            if line.in_use < line.rank.guaranteed_share * usable:
+                return line
+        return waiting[0] if waiting else None
+
+
+class FifoAdmission(ShareAdmission):
+    """First come, first served, without refusals; the baseline."""
+
+    def __init__(self) -> None:
+        """Start with an empty order of arrival."""
+        super().__init__()
+        self._arrivals: deque[Ticket] = deque()
+
+    def enter(
+        self,
+        rank: str,
+        deadline_s: float,
+        now_s: float,
+    ) -> Ticket | Refused:
+        """Queue a request; it is never refused."""
+        ticket = Ticket(rank)
+        self._line(rank).queue.append(ticket)
+        self._arrivals.append(ticket)
+        self._grant(now_s)
+        return ticket
+
+    def _next_line(self, usable: int) -> _Line | None:
+        while self._arrivals:
+            line = self._lines[self._arrivals.popleft().rank]
+            if line.queue:
+                return line
+        return None
--- /dev/null
+++ b/src/ragwortstand/backend_servers/server.py
@@ -0,0 +1,349 @@
+"""ragwortstand.backend_servers.server: the backend server beside a daemon."""
+
+import enum
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from typing import TypeAlias
+
+import anyio
+import msgspec
+
+from ragwortstand.backend_servers.admission import (
+    Admission,
+    FifoAdmission,
+    Load,
+    ShareAdmission,
+    Ticket,
+)
+from ragwortstand.backend_servers.connections import (
+    Connect,
+    ConnectionPool,
+    Endpoint,
+    HttpConnection,
+    HttpcoreConnection,
+    HttptoolsConnection,
+    WireRequest,
+)
+from ragwortstand.backend_servers.crashes import CrashRecord
+from ragwortstand.calls import Call
+from ragwortstand.events import Event, EventLog
+from ragwortstand.exceptions import BackendServerError
+from ragwortstand.ids import Fingerprint, ServiceName
+from ragwortstand.settings import DaemonSettings
+from ragwortstand.verdicts import (
+    Answered,
+    Cause,
+    Outcome,
+    Refused,
+    Unknown,
+    Verdict,
+)
+from ragwortstand.versions import Snapshot
+
+_CONNECTS: dict[str, Connect] = {
+    'httptools': HttptoolsConnection.connect,
+    'httpcore': HttpcoreConnection.connect,
+}
+
+
+class BackendState(enum.Enum):
+    """What is known of the backend server beside this daemon."""
+
+    ABSENT = 'absent'
+    READY = 'ready'
+    DRAINING = 'draining'
+    DOWN = 'down'
+
+
+class Announcement(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What a backend server says of itself, about once a second.
+
+    :param instance: changes with each start of the backend server.
+    :param service: the service that it offers.
+    :param address: IP number it listens on.
+    :param port: TCP port it listens on.
+    :param slots: requests that it runs at once.
+    :param connections: connections that it accepts.
+    :param is_draining: whether it wants no more work.
+    """
+
+    instance: str
+    service: ServiceName
+    address: str
+    port: int
+    slots: int
+    connections: int
+    is_draining: bool = False
+
+
+CrashListener: TypeAlias = Callable[
+    [tuple[Fingerprint, ...]],
+    Awaitable[None],
+]
+
+
+@dataclass(slots=True)
+class _Flights:
+    """Requests between the first byte and the answer.
+
+    :param calls: the requests by object identity.
+    :param reported: set once a crash has been told to the other daemons.
+    """
+
+    calls: dict[int, Call] = field(default_factory=dict)
+    reported: anyio.Event = field(default_factory=anyio.Event)
+
+
+class BackendServer:
+    """Runs requests on the backend server beside this daemon.
+
+    :param settings: the daemon's settings.
+    :param log: where events go.
+    """
+
+    def __init__(self, settings: DaemonSettings, log: EventLog) -> None:
+        """Start without a backend server."""
+        self._settings = settings.backend_server
+        self._max_answer_bytes = settings.limits.max_answer_bytes
+        self._log = log
+        self._admission: Admission = (
+            FifoAdmission()
+            if settings.policies.admission == 'fifo'
+            else ShareAdmission()
+        )
+        self._pool: ConnectionPool | None = None
+        self._flights = _Flights()
+        self._suspect_turn = anyio.Lock()
+        self._announced_at_s = 0.0
+        self._cold_start_s: dict[str, float] = {}
+        self.announcement: Announcement | None = None
+        self.state = BackendState.ABSENT
+        self.crash_record = CrashRecord()
+        self.on_change: Callable[[], None] = _nothing
+        self.on_crash: CrashListener = _no_crash_listener
+
+    @property
+    def service(self) -> ServiceName | None:
+        """Return the service that the backend server offers."""
+        return self.announcement.service if self.announcement else None
+
+    @property
+    def in_flight(self) -> int:
+        """Return how many requests run on the backend server."""
+        return len(self._flights.calls)
+
+    def load(self, now_s: float) -> Load:
+        """Return how busy the backend server is."""
+        return self._admission.load(now_s)
+
+    def configure(self, snapshot: Snapshot) -> None:
+        """Take over ranks and services of a new configuration."""
+        self._admission.configure(snapshot.mesh.ranks)
+        self._cold_start_s = {
+            service.name: service.cold_start_s
+            for service in snapshot.mesh.services
+        }
+
+    def announce(self, announcement: Announcement, now_s: float) -> None:
+        """Take in what the backend server says of itself.
+
+        :param announcement: its words.
+        :param now_s: present time.
+        """
+        self._announced_at_s = now_s
+        known = self.announcement
+        is_fresh = known is None or known.instance != announcement.instance
+        if is_fresh:
+            self._restart(announcement, now_s)
+        elif self.state is BackendState.DOWN:
+            self._admission.open(announcement.slots, 0, now_s)
+        self.announcement = announcement
+        self._set_state(
+            BackendState.DRAINING
+            if announcement.is_draining
+            else BackendState.READY
+        )
+
+    def expire(self, now_s: float) -> None:
+        """Count the backend server as down when its announcements stop.
+
+        :param now_s: present time.
+        """
+        silent_s = now_s - self._announced_at_s
+        is_silent = silent_s > self._settings.announce_timeout_s
+        if is_silent and self.state is BackendState.READY:
+            self._set_state(BackendState.DOWN)
+
+    async def run(self, call: Call) -> Outcome:
+        """Run a request here, by rank and within its deadline.
+
+        :param call: the request.
+        :returns: its outcome; a refusal means that it did not run.
+        """
+        refusal = self._refusal(call)
+        if refusal:
+            return refusal
+        call.is_dispatched = False
+        with anyio.CancelScope(deadline=call.deadline_s):
+            return await self._queue(call)
+        if call.is_dispatched:
+            return Unknown(Cause.DEADLINE)
+        return Refused(Cause.DEADLINE)
+
+    def _refusal(self, call: Call) -> Refused | None:
+        if self.state is BackendState.DRAINING:
+            return Refused(Cause.LEAVING)
+        if self.state is not BackendState.READY:
+            return Refused(Cause.BACKEND_SERVER_DOWN)
+        if self.service != call.service.name:
+            return Refused(Cause.NO_BACKEND_SERVER)
+        return self._quarantine(call)
+
+    def _quarantine(self, call: Call) -> Refused | None:
+        if not self.crash_record:
+            return None
+        now_s = anyio.current_time()
+        if self.crash_record.is_quarantined(call.fingerprint, now_s):
+            return Refused(Cause.QUARANTINED, retry_after_s=600)
+        return None
+
+    async def _queue(self, call: Call) -> Outcome:
+        ticket = self._admission.enter(
+            call.rank.name, call.deadline_s, anyio.current_time()
+        )
+        if isinstance(ticket, Refused):
+            return ticket
+        try:
+            return await self._with_ticket(call, ticket)
+        finally:
+            self._admission.leave(ticket, anyio.current_time())
+
+    async def _with_ticket(self, call: Call, ticket: Ticket) -> Outcome:
+        if ticket.granted_at_s is None:
+            await ticket.granted.wait()
+        if not self._is_suspect(call):
+            return await self._exchange(call)
+        async with self._suspect_turn:
+            return self._quarantine(call) or await self._exchange(call)
+
+    def _is_suspect(self, call: Call) -> bool:
+        if not self.crash_record:
+            return False
+        now_s = anyio.current_time()
+        return self.crash_record.crashes(call.fingerprint, now_s) > 0
+
+    async def _exchange(self, call: Call) -> Outcome:
+        pool = self._pool
+        if pool is None or self.state is BackendState.DOWN:
+            return Refused(Cause.BACKEND_SERVER_DOWN)
+        reuse_s = (
+            self._settings.idle_reuse_s
+            if call.is_idempotent
+            else self._settings.strict_idle_reuse_s
+        )
+        try:
+            connection = await pool.acquire(reuse_s, anyio.current_time())
+        except BackendServerError as error:
+            self._down(str(error))
+            return Refused(Cause.BACKEND_SERVER_DOWN)
+        try:
+            return await self._fly(call, connection)
+        finally:
+            pool.release(connection, anyio.current_time())
+
+    async def _fly(self, call: Call, connection: HttpConnection) -> Outcome:
+        flights = self._flights
+        flights.calls[id(call)] = call
+        call.is_dispatched = True
+        try:
+            answered = await connection.exchange(_wire_request(call))
+        except BackendServerError as error:
+            if error.verdict is Verdict.NOT_RUN:
+                call.is_dispatched = False
+                return Refused(Cause.BACKEND_SERVER_DOWN)
+            return await self._after_loss(flights)
+        finally:
+            flights.calls.pop(id(call), None)
+        if self.crash_record:
+            self.crash_record.clear(call.fingerprint)
+        return answered
+
+    async def _after_loss(self, flights: _Flights) -> Outcome:
+        """Tell a crash of the backend server from a lost connection."""
+        if flights is self._flights and await self._accepts_connections():
+            return Unknown(Cause.CONNECTION_LOST)
+        if flights is self._flights:
+            self._flights = _Flights()
+            self._down('crashed')
+            suspects = {other.fingerprint for other in flights.calls.values()}
+            await self._record_crash(tuple(suspects))
+            flights.reported.set()
+        await flights.reported.wait()
+        return Unknown(Cause.CRASHED)
+
+    async def _accepts_connections(self) -> bool:
+        if self.announcement is None:
+            return False
+        endpoint = Endpoint(self.announcement.address, self.announcement.port)
+        try:
+            probe = await HttptoolsConnection.connect(endpoint, 0)
+        except BackendServerError:
+            return False
+        probe.close()
+        return True
+
+    async def _record_crash(self, suspects: tuple[Fingerprint, ...]) -> None:
+        now_s = anyio.current_time()
+        quarantined = self.crash_record.add(suspects, now_s)
+        self._log.emit(Event.CRASH_SUSPECTS, fingerprints=list(suspects))
+        for fingerprint in quarantined:
+            self._log.emit(Event.QUARANTINED, fingerprint=fingerprint)
+        await self.on_crash(suspects)
+
+    def _restart(self, announcement: Announcement, now_s: float) -> None:
+        if self._pool:
+            self._pool.close()
+        endpoint = Endpoint(announcement.address, announcement.port)
+        self._pool = ConnectionPool(
+            _CONNECTS[self._settings.client],
+            endpoint,
+            announcement.connections,
+            self._max_answer_bytes,
+        )
+        cold_start_s = self._cold_start_s.get(announcement.service, 0)
+        self._admission.open(announcement.slots, cold_start_s, now_s)
+
+    def _down(self, problem: str) -> None:
+        if self.state is BackendState.READY:
+            self._set_state(BackendState.DOWN, problem)
+
+    def _set_state(self, state: BackendState, problem: str = '') -> None:
+        if state is self.state:
+            return
+        self.state = state
+        self._log.emit(
+            Event.BACKEND_SERVER,
+            state=state.value,
+            service=self.service,
+            problem=problem,
+        )
+        self.on_change()
+
+
+def _wire_request(call: Call) -> WireRequest:
+    extra = (
+        (b'ragwort-request-id', call.request_id.encode()),
+        (b'ragwort-attempt', b'%d' % call.attempt),
+        (b'ragwort-rank', call.rank.name.encode()),
+    )
+    return WireRequest(
+        call.method, call.target, call.headers + extra, call.body
+    )
+
+
+def _nothing() -> None:
+    """Do nothing when the state changes."""
+
+
+async def _no_crash_listener(suspects: tuple[Fingerprint, ...]) -> None:
+    """Do nothing after a crash."""
--- /dev/null
+++ b/src/ragwortstand/callers/dispatch.py
@@ -0,0 +1,133 @@
+"""ragwortstand.callers.dispatch: sends a request to a backend server."""
+
+import anyio
+
+from ragwortstand.backend_servers import BackendServer
+from ragwortstand.calls import Call
+from ragwortstand.events import Event, EventLog
+from ragwortstand.ids import HostId, ServiceName
+from ragwortstand.metrics import Metrics
+from ragwortstand.peers.choice import Choice
+from ragwortstand.peers.forwarding import Attempt, Forwarder
+from ragwortstand.peers.members import Members
+from ragwortstand.peers.messages import Member
+from ragwortstand.peers.retries import RetryPolicy
+from ragwortstand.verdicts import (
+    Answered,
+    Cause,
+    Outcome,
+    Refused,
+)
+
+_NO_SERVER_RETRY_S = 1.0
+
+
+class Dispatcher:
+    """Tries backend servers until one answers or retrying must end.
+
+    :param members: the list of members.
+    :param choice: chooses among them.
+    :param retries: decides on further attempts.
+    :param backend_server: the one beside this daemon.
+    :param forwarder: hands requests to other daemons.
+    :param metrics: counts retries.
+    :param log: tells of retries.
+    """
+
+    def __init__(
+        self,
+        members: Members,
+        choice: Choice,
+        retries: RetryPolicy,
+        backend_server: BackendServer,
+        forwarder: Forwarder,
+        metrics: Metrics,
+        log: EventLog,
+    ) -> None:
+        """Keep the collaborators."""
+        self._members = members
+        self._choice = choice
+        self._retries = retries
+        self._backend_server = backend_server
+        self._forwarder = forwarder
+        self._metrics = metrics
+        self._log = log
+
+    async def dispatch(self, call: Call) -> Outcome:
+        """Return the outcome of a request, after retries.
+
+        :param call: the request.
+        """
+        tried: set[HostId] = set()
+        last: Outcome | None = None
+        while True:
+            member = self._choose(call, tried)
+            if member is None:
+                return last or Refused(
+                    Cause.NO_BACKEND_SERVER, _NO_SERVER_RETRY_S
+                )
+            tried.add(member.host)
+            outcome = await self._attempt(call, member)
+            last = _worse(last, outcome)
+            now_s = anyio.current_time()
+            if not self._retries.allows(call, outcome, now_s):
+                return outcome if isinstance(outcome, Answered) else last
+            call.attempt += 1
+            self._note_retry(call, member, outcome)
+
+    def _choose(self, call: Call, tried: set[HostId]) -> Member | None:
+        service = ServiceName(call.service.name)
+        return self._choice.choose(
+            self._members.offering(service),
+            call.rank,
+            tried,
+            anyio.current_time(),
+        )
+
+    async def _attempt(self, call: Call, member: Member) -> Outcome:
+        started_s = anyio.current_time()
+        self._choice.started(member.host, call.rank)
+        attempt = Attempt(Refused(Cause.CALLER_GONE), 0)
+        try:
+            attempt = await self._run(call, member)
+        finally:
+            now_s = anyio.current_time()
+            self._choice.finished(
+                member.host,
+                call.rank,
+                attempt.outcome,
+                attempt.busy,
+                now_s - started_s,
+                now_s,
+            )
+        return attempt.outcome
+
+    async def _run(self, call: Call, member: Member) -> Attempt:
+        if member.host != self._members.own.host:
+            return await self._forwarder.forward(call, member)
+        outcome = await self._backend_server.run(call)
+        load = self._backend_server.load(anyio.current_time())
+        return Attempt(outcome, load.busy)
+
+    def _note_retry(
+        self,
+        call: Call,
+        member: Member,
+        outcome: Outcome,
+    ) -> None:
+        assert not isinstance(outcome, Answered)
+        self._metrics.retries.labels(call.rank.name).inc()
+        self._log.emit(
+            Event.RETRIED,
+            request=call.request_id,
+            attempt=call.attempt,
+            after=outcome.cause.value,
+            tried=member.host,
+        )
+
+
+def _worse(last: Outcome | None, outcome: Outcome) -> Outcome:
+    """Return the less certain of two outcomes without an answer."""
+    if last is None or isinstance(last, Refused):
+        return outcome
+    return last
--- /dev/null
+++ b/src/ragwortstand/callers/front.py
@@ -0,0 +1,324 @@
+"""ragwortstand.callers.front: the HTTP side that callers talk to."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Any, TypeAlias
+from uuid import uuid4
+
+import anyio
+import anyio.abc
+
+from ragwortstand.backend_servers import end_to_end
+from ragwortstand.callers.answers import render
+from ragwortstand.callers.dispatch import Dispatcher
+from ragwortstand.calls import Call
+from ragwortstand.events import Event, EventLog
+from ragwortstand.exceptions import CallerGoneError, RequestTooLargeError
+from ragwortstand.ids import NO_VERSION, IdempotencyKey, RequestId, Version
+from ragwortstand.metrics import Metrics
+from ragwortstand.models import MAX_DEADLINE_S, Rank
+from ragwortstand.settings import LimitSettings
+from ragwortstand.verdicts import (
+    Answered,
+    Cause,
+    Headers,
+    Outcome,
+    Refused,
+    Unknown,
+)
+from ragwortstand.versions import Match, Snapshot
+
+Scope: TypeAlias = dict[str, Any]
+Receive: TypeAlias = Callable[[], Awaitable[dict[str, Any]]]
+Send: TypeAlias = Callable[[dict[str, Any]], Awaitable[None]]
+
+_WATCH_AFTER_S = 0.1
+_MAX_KEY_BYTES = 200
+_NO_RANK = 'none'
+_OVERLOAD_RETRY_S = 0.5
+_OWN_HEADERS = frozenset(
+    (
+        b'ragwort-attempt',
+        b'ragwort-rank',
+        b'ragwort-request-id',
+        b'ragwort-timeout-ms',
+    ),
+)
+
+
+@dataclass(slots=True, eq=False)
+class _Visit:
+    """A caller's request while this daemon answers it."""
+
+    receive: Receive
+    scope: anyio.CancelScope
+    since_s: float
+    is_watched: bool = False
+
+
+class Front:
+    """ASGI application that routes the requests of callers.
+
+    :param snapshot: returns the configuration in force, None while this
+        daemon is not ready.
+    :param dispatcher: sends requests to backend servers.
+    :param limits: bounds on requests.
+    :param metrics: counts requests by rank and verdict.
+    :param log: tells of refusals and of outcomes that are not known.
+    """
+
+    def __init__(
+        self,
+        snapshot: Callable[[], Snapshot | None],
+        dispatcher: Dispatcher,
+        limits: LimitSettings,
+        metrics: Metrics,
+        log: EventLog,
+    ) -> None:
+        """Start without visits."""
+        self._snapshot = snapshot
+        self._dispatcher = dispatcher
+        self._limits = limits
+        self._metrics = metrics
+        self._log = log
+        self._visits: set[_Visit] = set()
+        self.is_leaving = False
+
+    @property
+    def in_flight(self) -> int:
+        """Return how many requests are being answered."""
+        return len(self._visits)
+
+    async def __call__(
+        self,
+        scope: Scope,
+        receive: Receive,
+        send: Send,
+    ) -> None:
+        """Answer one request."""
+        visit = _Visit(receive, anyio.CancelScope(), anyio.current_time())
+        self._visits.add(visit)
+        try:
+            with visit.scope:
+                await self._answer(scope, receive, send)
+        except CallerGoneError:
+            return
+        finally:
+            self._visits.remove(visit)
+
+    async def watch(self) -> None:
+        """Cancel requests whose callers have gone, until cancelled.
+
+        Only requests older than a tenth of a second are watched, so that
+        short ones do not pay for a task of their own.
+        """
+        async with anyio.create_task_group() as watchers:
+            while True:
+                await anyio.sleep(_WATCH_AFTER_S)
+                now_s = anyio.current_time()
+                for visit in tuple(self._visits):
+                    age_s = now_s - visit.since_s
+                    if age_s > _WATCH_AFTER_S and not visit.is_watched:
+                        visit.is_watched = True
+                        watchers.start_soon(_cancel_when_gone, visit)
+
+    async def _answer(
+        self,
+        scope: Scope,
+        receive: Receive,
+        send: Send,
+    ) -> None:
+        started_s = anyio.current_time()
+        request_id = RequestId(uuid4().hex)
+        snapshot = self._snapshot()
+        rank = _NO_RANK
+        call = await self._admit(scope, receive, snapshot, request_id)
+        if isinstance(call, Call):
+            rank = call.rank.name
+            self._metrics.offered.labels(rank).inc()
+            outcome = await self._dispatch(call)
+        else:
+            outcome = call
+        version = snapshot.version if snapshot else NO_VERSION
+        self._account(outcome, rank, request_id, version, started_s)
+        await _send(render(outcome, request_id, version), send)
+
+    async def _dispatch(self, call: Call) -> Outcome:
+        try:
+            return await self._dispatcher.dispatch(call)
+        except Exception as error:  # noqa: BLE001
+            self._log.emit(
+                Event.TASK_FAILED, request=call.request_id, problem=repr(error)
+            )
+            return Unknown(Cause.INTERNAL)
+
+    async def _admit(
+        self,
+        scope: Scope,
+        receive: Receive,
+        snapshot: Snapshot | None,
+        request_id: RequestId,
+    ) -> Call | Refused:
+        """Return the call for a request, or why it is refused."""
+        refusal = self._early_refusal(snapshot)
+        if refusal or snapshot is None:
+            return refusal or Refused(Cause.NO_CONFIGURATION)
+        match = snapshot.match(scope['method'], scope['path'])
+        if match is None:
+            return Refused(Cause.NO_ROUTE)
+        headers = dict(scope['headers'])
+        try:
+            body = await self._body(headers, receive)
+            return _call(scope, headers, body, match, snapshot, request_id)
+        except RequestTooLargeError:
+            return Refused(Cause.BODY_TOO_LARGE)
+        except ValueError:
+            return Refused(Cause.BAD_REQUEST)
+
+    def _early_refusal(self, snapshot: Snapshot | None) -> Refused | None:
+        if self.is_leaving:
+            return Refused(Cause.LEAVING)
+        if snapshot is None:
+            return Refused(Cause.NO_CONFIGURATION)
+        if len(self._visits) > self._limits.max_in_flight:
+            return Refused(Cause.OVERLOADED, _OVERLOAD_RETRY_S)
+        return None
+
+    async def _body(
+        self,
+        headers: dict[bytes, bytes],
+        receive: Receive,
+    ) -> bytes:
+        limit = self._limits.max_request_bytes
+        if int(headers.get(b'content-length', b'0')) > limit:
+            raise RequestTooLargeError
+        body = b''
+        while True:
+            message = await receive()
+            if message['type'] == 'http.disconnect':
+                raise CallerGoneError
+            body += message.get('body', b'')
+            if len(body) > limit:
+                raise RequestTooLargeError
+            if not message.get('more_body', False):
+                return body
+
+    def _account(
+        self,
+        outcome: Outcome,
+        rank: str,
+        request_id: RequestId,
+        version: Version,
+        started_s: float,
+    ) -> None:
+        taken_s = anyio.current_time() - started_s
+        verdict = outcome.verdict.value
+        cause = ''
+        if not isinstance(outcome, Answered):
+            cause = outcome.cause.value
+            is_refused = isinstance(outcome, Refused)
+            event = Event.REFUSED if is_refused else Event.UNKNOWN
+            self._log.emit(
+                event,
+                request=request_id,
+                rank=rank,
+                cause=cause,
+                version=version,
+            )
+        self._metrics.outcomes.labels(rank, verdict, cause).inc()
+        self._metrics.latency_s.labels(rank).observe(taken_s)
+
+
+def _call(
+    scope: Scope,
+    headers: dict[bytes, bytes],
+    body: bytes,
+    match: Match,
+    snapshot: Snapshot,
+    request_id: RequestId,
+) -> Call:
+    """Return the call for a request.
+
+    :raises ValueError: when one of the request's headers is malformed.
+    """
+    rank = _rank(headers, match, snapshot)
+    method = scope['method']
+    return Call(
+        request_id=request_id,
+        method=method,
+        target=_target(scope),
+        headers=_forwarded(scope['headers']),
+        body=body,
+        service=match.service,
+        rank=rank,
+        is_idempotent=match.route.is_idempotent(method),
+        deadline_s=anyio.current_time() + _timeout_s(headers, match, rank),
+        version=snapshot.version,
+        key=_key(headers),
+    )
+
+
+def _target(scope: Scope) -> str:
+    path: str = scope['raw_path'].decode('ascii')
+    query: str = scope['query_string'].decode('ascii')
+    return f'{path}?{query}' if query else path
+
+
+def _forwarded(headers: list[tuple[bytes, bytes]]) -> Headers:
+    kept = tuple(pair for pair in headers if pair[0] not in _OWN_HEADERS)
+    return end_to_end(kept)
+
+
+def _timeout_s(
+    headers: dict[bytes, bytes],
+    match: Match,
+    rank: Rank,
+) -> float:
+    asked = headers.get(b'ragwort-timeout-ms')
+    if asked is None:
+        return match.route.deadline_s or rank.deadline_s
+    timeout_s = int(asked) / 1000
+    if timeout_s <= 0:
+        raise ValueError('timeout is not positive')
+    return min(timeout_s, MAX_DEADLINE_S)
+
+
+def _rank(
+    headers: dict[bytes, bytes],
+    match: Match,
+    snapshot: Snapshot,
+) -> Rank:
+    """Return the route's rank, or the less urgent one the caller names."""
+    asked = headers.get(b'ragwort-rank')
+    named = snapshot.rank(asked.decode('ascii')) if asked else None
+    if named is None:
+        return match.rank
+    ranks = snapshot.mesh.ranks
+    return max(named, match.rank, key=ranks.index)
+
+
+def _key(headers: dict[bytes, bytes]) -> IdempotencyKey | None:
+    key = headers.get(b'idempotency-key')
+    if key is None:
+        return None
+    if not key or len(key) > _MAX_KEY_BYTES:
+        raise ValueError('malformed idempotency key')
+    return IdempotencyKey(key.decode('ascii'))
+
+
+async def _cancel_when_gone(visit: _Visit) -> None:
+    message = await visit.receive()
+    if message['type'] == 'http.disconnect':
+        visit.scope.cancel()
+
+
+async def _send(answered: Answered, send: Send) -> None:
+    size = (b'content-length', b'%d' % len(answered.body))
+    await send(
+        {
+            'type': 'http.response.start',
+            'status': answered.status,
+            'headers': [*answered.headers, size],
+        },
+    )
+    await send({'type': 'http.response.body', 'body': answered.body})
--- /dev/null
+++ b/src/ragwortstand/calls.py
@@ -0,0 +1,59 @@
+"""ragwortstand.calls: one request on its way through the daemons."""
+
+from dataclasses import dataclass, field
+
+import xxhash
+
+from ragwortstand.ids import Fingerprint, IdempotencyKey, RequestId, Version
+from ragwortstand.models import Rank, Service
+from ragwortstand.verdicts import Headers
+
+
+@dataclass(slots=True)
+class Call:
+    """A request with the route, deadline and version it was matched with.
+
+    :param request_id: id that logs and backend servers see.
+    :param method: HTTP method in upper case.
+    :param target: path and query.
+    :param headers: end-to-end headers, names in lower case.
+    :param body: the whole body.
+    :param service: service that runs it.
+    :param rank: rank of the work.
+    :param is_idempotent: whether it may be repeated after it may have run.
+    :param deadline_s: time of giving up, on this process's clock.
+    :param version: version of the configuration it was matched with.
+    :param key: the caller's idempotency key.
+    :param attempt: 1 for the first attempt.
+    :param is_dispatched: whether the first byte may have reached a backend
+        server.
+    """
+
+    request_id: RequestId
+    method: str
+    target: str
+    headers: Headers
+    body: bytes
+    service: Service
+    rank: Rank
+    is_idempotent: bool
+    deadline_s: float
+    version: Version
+    key: IdempotencyKey | None = None
+    attempt: int = 1
+    is_dispatched: bool = False
+    _fingerprint: Fingerprint | None = field(default=None, repr=False)
+
+    @property
+    def fingerprint(self) -> Fingerprint:
+        """Return a hash that each repetition of the request shares."""
+        if self._fingerprint is None:
+            hasher = xxhash.xxh3_128(self.method.encode())
+            hasher.update(self.target.encode())
+            hasher.update(self.body)
+            self._fingerprint = Fingerprint(hasher.hexdigest())
+        return self._fingerprint
+
+    def remaining_s(self, now_s: float) -> float:
+        """Return the time until the deadline, 0 at least."""
+        return max(0.0, self.deadline_s - now_s)
--- /dev/null
+++ b/src/ragwortstand/commands.py
@@ -0,0 +1,39 @@
+"""ragwortstand.commands: what all command lines share."""
+
+import argparse
+import enum
+import sys
+from importlib import metadata
+
+
+class ExitCode(enum.IntEnum):
+    """Exit codes of all commands, for scripts.
+
+    Code 2 is also what `argparse` uses for a malformed command line.
+    """
+
+    DONE = 0
+    FAILED = 1
+    FAULTY = 2
+    CONFLICT = 3
+    UNAVAILABLE = 4
+    TIMED_OUT = 5
+    MAY_HAVE_HAPPENED = 6
+
+
+def add_version(parser: argparse.ArgumentParser) -> None:
+    """Add the option `--version` to a command line."""
+    version = metadata.version('ragwortstand')
+    parser.add_argument(
+        '--version', action='version', version=f'%(prog)s {version}'
+    )
+
+
+def report(problem: object, code: ExitCode) -> ExitCode:
+    """Print a problem on standard error and return the exit code.
+
+    :param problem: what to tell the user.
+    :param code: the exit code to return.
+    """
+    sys.stderr.write(f'{problem}\n')
+    return code
--- /dev/null
+++ b/src/ragwortstand/daemon.py
@@ -0,0 +1,413 @@
+"""ragwortstand.daemon: the daemon beside a backend server, put together."""
+
+import argparse
+import random
+import signal
+import sys
+import time
+from collections.abc import Awaitable, Callable, Sequence
+
+import anyio
+import anyio.abc
+
+from ragwortstand.backend_servers import BackendServer, BackendState
+from ragwortstand.callers import Dispatcher, Front
+from ragwortstand.commands import ExitCode, add_version, report
+from ragwortstand.events import EliotLog, Event, EventLog
+from ragwortstand.exceptions import SettingsError
+from ragwortstand.ids import (
+    Fingerprint,
+    HostId,
+    PeerAddress,
+    RegionName,
+    ZoneName,
+)
+from ragwortstand.metrics import Metrics
+from ragwortstand.operators.admin import Admin, FleetReport
+from ragwortstand.peers.choice import (
+    Choice,
+    Place,
+    RandomChoice,
+    SignalChoice,
+)
+from ragwortstand.peers.distribution import Distributor
+from ragwortstand.peers.forwarding import ForwardedWork, Forwarder
+from ragwortstand.peers.gossip import Gossip
+from ragwortstand.peers.handlers import PeerHandlers
+from ragwortstand.peers.joining import Joiner
+from ragwortstand.peers.links import MAX_OVERHEAD_BYTES, Links
+from ragwortstand.peers.listener import Listener
+from ragwortstand.peers.members import Members
+from ragwortstand.peers.messages import (
+    CrashSuspects,
+    Member,
+    MemberState,
+    Ping,
+)
+from ragwortstand.peers.retries import (
+    BudgetedRetries,
+    NaiveRetries,
+    RetryPolicy,
+)
+from ragwortstand.platform import Acceptance, EntryPoints, PlatformClient
+from ragwortstand.servers import HttpServer, bind, http_server, port_of
+from ragwortstand.settings import DaemonSettings, load_settings
+from ragwortstand.versions import Snapshot, VersionGate
+
+_WATCH_LINKS_S = 0.5
+_EXPIRE_S = 0.5
+_MARK_TIMEOUT_S = 0.5
+_DRAIN_POLL_S = 0.02
+_LEAVE_SPREAD_S = 0.3
+_RESTART_S = 1.0
+
+
+class Daemon:
+    """All parts of one daemon and the tasks that drive them.
+
+    Usage::
+
+        >>> daemon = Daemon(load_settings('host.json'), log)
+        >>> anyio.run(daemon.run)
+
+    :param settings: checked settings.
+    :param log: where events go.
+    """
+
+    def __init__(self, settings: DaemonSettings, log: EventLog) -> None:
+        """Bind the sockets and connect the parts."""
+        self._settings = settings
+        self._log = log
+        self._metrics = Metrics()
+        self._rng = random.Random()
+        self._gate = VersionGate()
+        self._open_sockets()
+        self._build_peers()
+        self._build_calls()
+        self._build_admin()
+        self._stopping = anyio.Event()
+        self._tasks: anyio.abc.TaskGroup | None = None
+
+    async def run(self) -> None:
+        """Serve until told to stop, then leave in order."""
+        async with anyio.create_task_group() as tasks:
+            self._tasks = tasks
+            self._forwarder.start(tasks)
+            servers = self._start(tasks)
+            self._announce_listening()
+            await self._stopping.wait()
+            await self._leave()
+            for server in servers:
+                server.should_exit = True
+            await anyio.sleep(_LEAVE_SPREAD_S)
+            tasks.cancel_scope.cancel()
+        self._links.close()
+        self._log.emit(Event.STOPPED, exit=0)
+
+    def stop(self) -> None:
+        """Begin a graceful stop."""
+        self._stopping.set()
+
+    def drain(self) -> None:
+        """Refuse new work from now on and tell the others."""
+        if self._front.is_leaving:
+            return
+        self._front.is_leaving = True
+        self._log.emit(Event.DRAINING, in_flight=self._in_flight)
+        self._members.update_own(is_ready=False)
+        self._spawn_spread()
+
+    @property
+    def _in_flight(self) -> int:
+        return self._front.in_flight + self._forwarded.in_flight
+
+    def _open_sockets(self) -> None:
+        settings = self._settings
+        limits = settings.limits
+        self._max_message_bytes = MAX_OVERHEAD_BYTES + max(
+            limits.max_request_bytes, limits.max_answer_bytes
+        )
+        callers, admin, peers = (
+            settings.callers,
+            settings.admin,
+            settings.peers,
+        )
+        self._callers_socket = bind(callers.address, callers.port)
+        self._admin_socket = bind(admin.address, admin.port)
+        self._listener = Listener(
+            f'tcp://{peers.address}:{peers.port}',
+            settings.cluster,
+            self._max_message_bytes,
+            self._metrics,
+            self._log,
+        )
+
+    def _build_peers(self) -> None:
+        settings = self._settings
+        own = Member(
+            host=HostId(settings.host),
+            peer_address=self._listener.address,
+            region=RegionName(settings.region),
+            zone=ZoneName(settings.availability_zone),
+            incarnation=int(time.time() * 1000),
+        )
+        self._members = Members(own, settings.membership, time.monotonic())
+        self._members.on_change = self._on_member
+        self._links = Links(
+            settings.cluster,
+            own.host,
+            self._metrics,
+            self._log,
+            self._max_message_bytes,
+            self._scope_of,
+        )
+        self._listener.scope_of_host = self._scope_of_host
+        self._platform = PlatformClient(
+            settings.platform, self._metrics, self._log
+        )
+        self._acceptance = Acceptance(self._platform, self._platform)
+        self._distributor = Distributor(
+            self._gate,
+            self._acceptance,
+            self._members,
+            self._links,
+            settings.platform,
+            self._metrics,
+            self._log,
+            self._rng,
+        )
+        self._gossip = Gossip(
+            self._members,
+            self._links,
+            settings.membership,
+            lambda: self._gate.version,
+            self._distributor.heard,
+            self._rng,
+        )
+        self._joiner = Joiner(
+            self._members,
+            self._gossip,
+            EntryPoints(self._platform, settings.cluster),
+            settings.entry_points,
+            self._rng,
+        )
+
+    def _build_calls(self) -> None:
+        settings = self._settings
+        self._backend_server = BackendServer(settings, self._log)
+        self._backend_server.on_change = self._on_backend_server
+        self._backend_server.on_crash = self._on_crash
+        self._gate.subscribe(self._backend_server.configure)
+        self._forwarder = Forwarder(self._links)
+        dispatcher = Dispatcher(
+            self._members,
+            self._choice(),
+            self._retry_policy(),
+            self._backend_server,
+            self._forwarder,
+            self._metrics,
+            self._log,
+        )
+        self._front = Front(
+            self._snapshot,
+            dispatcher,
+            settings.limits,
+            self._metrics,
+            self._log,
+        )
+        self._forwarded = ForwardedWork(
+            self._backend_server,
+            self._snapshot,
+            lambda: self._front.is_leaving,
+        )
+        self._handlers = PeerHandlers(
+            self._gossip,
+            self._distributor,
+            self._forwarded,
+            self._gate,
+            self._members,
+            self._backend_server.crash_record,
+        )
+
+    def _build_admin(self) -> None:
+        self._admin = Admin(
+            token=self._settings.admin.token,
+            acceptance=self._acceptance,
+            backend_server=self._backend_server,
+            gate=self._gate,
+            metrics=self._metrics,
+            log=self._log,
+            fleet=FleetReport(self._members, self._distributor, self._gate),
+            drain=self.drain,
+            is_platform_reachable=lambda: self._platform.is_reachable,
+        )
+
+    def _start(self, tasks: anyio.abc.TaskGroup) -> list[HttpServer]:
+        callers = http_server(self._front)
+        admin = http_server(self._admin.app)
+        tasks.start_soon(callers.serve, [self._callers_socket])
+        tasks.start_soon(admin.serve, [self._admin_socket])
+        for task in (
+            self._serve_peers,
+            self._front.watch,
+            self._joiner.run,
+            self._gossip.run,
+            self._distributor.run,
+            self._watch_links,
+            self._expire_backend_server,
+        ):
+            tasks.start_soon(self._supervise, task)
+        return [callers, admin]
+
+    async def _supervise(self, task: Callable[[], Awaitable[None]]) -> None:
+        """Run a task for ever, and start it again when it fails."""
+        while True:
+            try:
+                await task()
+            except Exception as error:  # noqa: BLE001
+                self._log.emit(
+                    Event.TASK_FAILED,
+                    task=task.__qualname__,
+                    problem=repr(error),
+                )
+            await anyio.sleep(_RESTART_S)
+
+    async def _serve_peers(self) -> None:
+        await self._listener.serve(self._handlers.handle)
+
+    async def _watch_links(self) -> None:
+        while True:
+            await anyio.sleep(_WATCH_LINKS_S)
+            await self._links.watch(Ping(self._gate.version))
+
+    async def _expire_backend_server(self) -> None:
+        while True:
+            await anyio.sleep(_EXPIRE_S)
+            self._backend_server.expire(anyio.current_time())
+            for state, count in self._members.states().items():
+                self._metrics.members.labels(state.name.lower()).set(count)
+
+    async def _leave(self) -> None:
+        self.drain()
+        while self._in_flight:
+            await anyio.sleep(_DRAIN_POLL_S)
+        self._members.update_own(state=MemberState.LEFT)
+        await self._gossip.spread()
+
+    async def _on_crash(self, suspects: tuple[Fingerprint, ...]) -> None:
+        """Tell the daemons that could run the suspects next."""
+        service = self._backend_server.service
+        message = CrashSuspects(suspects)
+        async with anyio.create_task_group() as tellers:
+            for member in self._members.peers():
+                if member.service == service:
+                    tellers.start_soon(self._tell, member, message)
+
+    async def _tell(self, member: Member, message: CrashSuspects) -> None:
+        await self._forwarder.tell(member, message, _MARK_TIMEOUT_S)
+
+    def _snapshot(self) -> Snapshot | None:
+        return self._gate.snapshot if self._distributor.is_settled else None
+
+    def _choice(self) -> Choice:
+        own = self._members.own
+        if self._settings.policies.choice == 'random':
+            return RandomChoice(self._rng)
+        return SignalChoice(Place(own.host, own.zone, own.region), self._rng)
+
+    def _retry_policy(self) -> RetryPolicy:
+        if self._settings.policies.retry == 'naive':
+            return NaiveRetries()
+        return BudgetedRetries()
+
+    def _on_backend_server(self) -> None:
+        announcement = self._backend_server.announcement
+        is_ready = self._backend_server.state is BackendState.READY
+        self._members.update_own(
+            service=announcement.service if announcement else None,
+            slots=announcement.slots if announcement else 0,
+            is_ready=is_ready and not self._front.is_leaving,
+        )
+        self._spawn_spread()
+
+    def _spawn_spread(self) -> None:
+        if self._tasks:
+            self._tasks.start_soon(self._gossip.spread)
+
+    def _on_member(self, member: Member) -> None:
+        self._log.emit(
+            Event.MEMBER,
+            member=member.host,
+            state=member.state.name.lower(),
+            incarnation=member.incarnation,
+            is_ready=member.is_ready,
+        )
+
+    def _scope_of(self, address: PeerAddress) -> str:
+        for member in self._members.all():
+            if member.peer_address == address:
+                return self._scope_of_member(member)
+        return 'unknown'
+
+    def _scope_of_host(self, host: HostId) -> str:
+        member = self._members.get(host)
+        return self._scope_of_member(member) if member else 'unknown'
+
+    def _scope_of_member(self, member: Member) -> str:
+        own = self._members.own
+        if member.region != own.region:
+            return 'regional'
+        return 'zone' if member.zone == own.zone else 'region'
+
+    def _announce_listening(self) -> None:
+        self._log.emit(
+            Event.LISTENING,
+            callers_port=port_of(self._callers_socket),
+            admin_port=port_of(self._admin_socket),
+            peer_address=self._listener.address,
+        )
+
+
+async def _run(settings: DaemonSettings) -> None:
+    daemon = Daemon(settings, EliotLog(settings.host, sys.stdout))
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(daemon.run)
+            async for _ in signals:
+                daemon.stop()
+                break
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Run the daemon.
+
+    :param arguments: command line without the program's name.
+    :returns: exit code.
+    """
+    parser = argparse.ArgumentParser(
+        prog='ragwortd',
+        description='Daemon of ragwortstand beside one backend server.',
+    )
+    add_version(parser)
+    parser.add_argument('--settings', required=True, metavar='FILE')
+    parser.add_argument(
+        '--check-settings',
+        action='store_true',
+        help='check the settings, list every fault, and exit',
+    )
+    options = parser.parse_args(arguments)
+    try:
+        settings = load_settings(options.settings)
+    except SettingsError as error:
+        return report(error, ExitCode.FAULTY)
+    if options.check_settings:
+        return ExitCode.DONE
+    try:
+        anyio.run(_run, settings, backend_options={'use_uvloop': True})
+    except OSError as error:
+        return report(error, ExitCode.FAILED)
+    return ExitCode.DONE
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/src/ragwortstand/metrics.py
@@ -0,0 +1,98 @@
+"""ragwortstand.metrics: counters and gauges of one daemon."""
+
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    generate_latest,
+)
+
+_LATENCY_BUCKETS_S = (
+    0.001,
+    0.0025,
+    0.005,
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.25,
+    0.5,
+    1.0,
+    2.5,
+    5.0,
+    10.0,
+)
+
+
+class Metrics:
+    """All metrics of one daemon, in a registry of their own."""
+
+    def __init__(self) -> None:
+        """Register the metrics."""
+        registry = CollectorRegistry()
+        self._registry = registry
+        self.offered = Counter(
+            'ragwort_offered',
+            'Requests that callers sent',
+            ('rank',),
+            registry=registry,
+        )
+        self.outcomes = Counter(
+            'ragwort_outcomes',
+            'Requests by verdict and cause',
+            ('rank', 'verdict', 'cause'),
+            registry=registry,
+        )
+        self.latency_s = Histogram(
+            'ragwort_latency_seconds',
+            'Time from a request to its outcome',
+            ('rank',),
+            buckets=_LATENCY_BUCKETS_S,
+            registry=registry,
+        )
+        self.retries = Counter(
+            'ragwort_retries',
+            'Attempts after the first',
+            ('rank',),
+            registry=registry,
+        )
+        self.version = Gauge(
+            'ragwort_version',
+            'Version of the configuration in force',
+            registry=registry,
+        )
+        self.control_bytes = Counter(
+            'ragwort_control_bytes',
+            'Bytes of control messages sent and received',
+            ('link', 'direction', 'message'),
+            registry=registry,
+        )
+        self.members = Gauge(
+            'ragwort_members',
+            'Known members by state',
+            ('state',),
+            registry=registry,
+        )
+        self.peer_errors = Counter(
+            'ragwort_peer_message_errors',
+            'Messages from peers that were refused',
+            ('cause',),
+            registry=registry,
+        )
+        self.platform_calls = Counter(
+            'ragwort_platform_calls',
+            'Calls to the table service and the object store',
+            ('kind', 'outcome'),
+            registry=registry,
+        )
+        self.versions_refused = Counter(
+            'ragwort_versions_refused',
+            'Offered versions that did not come into force',
+            ('cause',),
+            registry=registry,
+        )
+
+    def render(self) -> bytes:
+        """Return all metrics in the Prometheus text format."""
+        return generate_latest(self._registry)
--- /dev/null
+++ b/src/ragwortstand/operators/__init__.py
@@ -0,0 +1,1 @@
+"""ragwortstand.operators: the side that operators talk to."""
--- /dev/null
+++ b/src/ragwortstand/operators/admin.py
@@ -0,0 +1,345 @@
+"""ragwortstand.operators.admin: HTTP interface for operators."""
+
+import hmac
+import time
+from collections.abc import Awaitable, Callable, Iterable
+
+import anyio
+import msgspec
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import Route
+
+from ragwortstand import api
+from ragwortstand.backend_servers import Announcement, BackendServer
+from ragwortstand.events import Event, EventLog
+from ragwortstand.exceptions import Fault, PlatformError
+from ragwortstand.ids import HostId, SubmissionId, Version
+from ragwortstand.metrics import Metrics
+from ragwortstand.operators.documents import (
+    AppliedReport,
+    CheckReport,
+    ErrorReport,
+    FaultReport,
+    HistoryReport,
+    MemberReport,
+    MembersReport,
+    StatusReport,
+    SubmissionReport,
+)
+from ragwortstand.peers.distribution import Distributor
+from ragwortstand.peers.members import Members
+from ragwortstand.peers.messages import Member
+from ragwortstand.platform import (
+    Acceptance,
+    Accepted,
+    Conflict,
+    Faulty,
+    Submission,
+    SubmissionOutcome,
+    Unavailable,
+)
+from ragwortstand.versions import VersionGate
+
+_ASKED_AT_ONCE = 64
+_DEFAULT_HISTORY = 20
+_MAX_HISTORY = 200
+_LOOPBACK = '127.'
+_SUBMISSION_STATUS = {
+    Accepted: 200,
+    Faulty: 422,
+    Conflict: 409,
+    Unavailable: 503,
+}
+
+Endpoint = Callable[[Request], Awaitable[Response]]
+
+
+class FleetReport:
+    """Answers questions about all daemons.
+
+    :param members: the list of members.
+    :param distributor: asks members for their version.
+    :param gate: holds this daemon's version.
+    """
+
+    def __init__(
+        self,
+        members: Members,
+        distributor: Distributor,
+        gate: VersionGate,
+    ) -> None:
+        """Keep the collaborators."""
+        self._members = members
+        self._distributor = distributor
+        self._gate = gate
+
+    @property
+    def own_host(self) -> HostId:
+        """Return this daemon's host."""
+        return self._members.own.host
+
+    @property
+    def is_ready(self) -> bool:
+        """Return whether this daemon has settled on a version."""
+        return self._distributor.is_settled and self._gate.version > 0
+
+    def members(self) -> MembersReport:
+        """Return all members as this daemon sees them."""
+        known = sorted(self._members.all(), key=lambda member: member.host)
+        return MembersReport(tuple(_member_report(one) for one in known))
+
+    async def applied(self, version: Version) -> AppliedReport:
+        """Ask every live daemon for its version.
+
+        :param version: the version to compare with.
+        """
+        held: dict[HostId, Version | None] = {
+            self._members.own.host: self._gate.version,
+        }
+        limiter = anyio.CapacityLimiter(_ASKED_AT_ONCE)
+
+        async def ask(member: Member) -> None:
+            async with limiter:
+                answer = await self._distributor.ask_applied(member)
+                held[member.host] = answer
+
+        async with anyio.create_task_group() as questions:
+            for member in self._members.peers():
+                questions.start_soon(ask, member)
+        return _applied_report(version, held)
+
+
+class Admin:
+    """The admin interface as an ASGI application in `app`.
+
+    :param token: bearer token that operators present.
+    :param acceptance: commits and reads versions.
+    :param backend_server: the one beside this daemon.
+    :param gate: holds the version in force.
+    :param metrics: metrics of the daemon.
+    :param log: tells of submissions.
+    :param fleet: answers questions about all daemons.
+    :param drain: makes the daemon refuse new work.
+    :param is_platform_reachable: tells whether the last call to the platform
+        was answered.
+    """
+
+    def __init__(
+        self,
+        token: str,
+        acceptance: Acceptance,
+        backend_server: BackendServer,
+        gate: VersionGate,
+        metrics: Metrics,
+        log: EventLog,
+        fleet: FleetReport,
+        drain: Callable[[], None],
+        is_platform_reachable: Callable[[], bool],
+    ) -> None:
+        """Build the application."""
+        self._authorization = f'Bearer {token}'.encode()
+        self._acceptance = acceptance
+        self._backend_server = backend_server
+        self._gate = gate
+        self._metrics = metrics
+        self._log = log
+        self._fleet = fleet
+        self._drain = drain
+        self._is_platform_reachable = is_platform_reachable
+        self.app = Starlette(routes=self._routes())
+
+    def _routes(self) -> list[Route]:
+        guarded: dict[tuple[str, str], Endpoint] = {
+            ('POST', '/v1/check'): self._check,
+            ('POST', '/v1/submit'): self._submit,
+            ('GET', '/v1/status'): self._status,
+            ('GET', '/v1/applied'): self._applied,
+            ('GET', '/v1/history'): self._history,
+            ('GET', '/v1/versions/{version:int}'): self._version,
+            ('GET', '/v1/members'): self._members,
+            ('POST', '/v1/drain'): self._start_drain,
+            ('GET', '/metrics'): self._render_metrics,
+        }
+        routes = [
+            Route(path, self._guard(endpoint), methods=[method])
+            for (method, path), endpoint in guarded.items()
+        ]
+        announce = Route('/v1/announce', self._announce, methods=['POST'])
+        return [*routes, announce]
+
+    def _guard(self, endpoint: Endpoint) -> Endpoint:
+        async def guarded(request: Request) -> Response:
+            given = request.headers.get('authorization', '').encode()
+            if not hmac.compare_digest(given, self._authorization):
+                return _error(401, 'a valid bearer token is required')
+            try:
+                return await endpoint(request)
+            except PlatformError as error:
+                return _error(503, f'platform: {error}')
+            except ValueError as error:
+                return _error(400, str(error))
+
+        return guarded
+
+    async def _check(self, request: Request) -> Response:
+        faults = api.check(await request.body())
+        return _json(CheckReport(_fault_reports(faults)))
+
+    async def _submit(self, request: Request) -> Response:
+        query = request.query_params
+        base = query.get('base')
+        submission = Submission(
+            content=await request.body(),
+            submission=SubmissionId(_required(query.get('submission'))),
+            base=None if base is None else Version(int(base)),
+            author=query.get('author', ''),
+        )
+        outcome = await self._acceptance.submit(submission, time.time())
+        self._tell(outcome, submission)
+        status = _SUBMISSION_STATUS[type(outcome)]
+        return _json(_submission_report(outcome), status)
+
+    async def _status(self, request: Request) -> Response:
+        snapshot = self._gate.snapshot
+        return _json(
+            StatusReport(
+                host=self._fleet.own_host,
+                version=self._gate.version,
+                digest=snapshot.digest if snapshot else '',
+                is_ready=self._fleet.is_ready,
+                backend_server=self._backend_server.state.value,
+                in_flight=self._backend_server.in_flight,
+                is_platform_reachable=self._is_platform_reachable(),
+            ),
+        )
+
+    async def _applied(self, request: Request) -> Response:
+        asked = request.query_params.get('version')
+        version = Version(int(asked)) if asked else self._gate.version
+        return _json(await self._fleet.applied(version))
+
+    async def _history(self, request: Request) -> Response:
+        asked = int(request.query_params.get('limit', _DEFAULT_HISTORY))
+        limit = max(1, min(asked, _MAX_HISTORY))
+        return _json(HistoryReport(await self._acceptance.history(limit)))
+
+    async def _version(self, request: Request) -> Response:
+        version = Version(request.path_params['version'])
+        record = await self._acceptance.version(version)
+        content = None
+        if record:
+            content = await self._acceptance.content(record.digest)
+        if content is None:
+            return _error(404, f'there is no version {version}')
+        return Response(content, media_type='application/json')
+
+    async def _members(self, request: Request) -> Response:
+        return _json(self._fleet.members())
+
+    async def _start_drain(self, request: Request) -> Response:
+        self._drain()
+        return await self._status(request)
+
+    async def _render_metrics(self, request: Request) -> Response:
+        return Response(self._metrics.render(), media_type='text/plain')
+
+    async def _announce(self, request: Request) -> Response:
+        if not request.client or not request.client.host.startswith(_LOOPBACK):
+            return _error(403, 'announcements come from the same host')
+        try:
+            announcement = msgspec.json.decode(
+                await request.body(), type=Announcement
+            )
+        except msgspec.DecodeError as error:
+            return _error(400, f'malformed announcement: {error}')
+        self._backend_server.announce(announcement, anyio.current_time())
+        return Response(status_code=204)
+
+    def _tell(
+        self,
+        outcome: SubmissionOutcome,
+        submission: Submission,
+    ) -> None:
+        event = Event.SUBMISSION_REFUSED
+        version = None
+        if isinstance(outcome, Accepted):
+            event = Event.ACCEPTED
+            version = outcome.record.version
+        self._log.emit(
+            event,
+            submission=submission.submission,
+            author=submission.author,
+            outcome=type(outcome).__name__.lower(),
+            version=version,
+        )
+
+
+def _json(document: msgspec.Struct, status: int = 200) -> Response:
+    content = msgspec.json.encode(document)
+    return Response(content, status, media_type='application/json')
+
+
+def _error(status: int, problem: str) -> Response:
+    return _json(ErrorReport(problem), status)
+
+
+def _required(text: str | None) -> str:
+    if not text:
+        raise ValueError('the parameter submission is missing')
+    return text
+
+
+def _fault_reports(faults: tuple[Fault, ...]) -> tuple[FaultReport, ...]:
+    return tuple(FaultReport(fault.path, fault.problem) for fault in faults)
+
+
+def _submission_report(outcome: SubmissionOutcome) -> SubmissionReport:
+    match outcome:
+        case Accepted():
+            return SubmissionReport('accepted', outcome.record)
+        case Faulty():
+            faults = _fault_reports(outcome.faults)
+            return SubmissionReport('faulty', faults=faults)
+        case Conflict():
+            return SubmissionReport('conflict', outcome.winner)
+        case Unavailable():
+            return SubmissionReport(
+                'unavailable',
+                problem=outcome.problem,
+                verdict=outcome.verdict.value,
+            )
+
+
+def _member_report(member: Member) -> MemberReport:
+    return MemberReport(
+        host=member.host,
+        region=member.region,
+        zone=member.zone,
+        state=member.state.name.lower(),
+        service=member.service or '',
+        slots=member.slots,
+        is_ready=member.is_ready,
+        incarnation=member.incarnation,
+        peer_address=member.peer_address,
+    )
+
+
+def _applied_report(
+    version: Version,
+    held: dict[HostId, Version | None],
+) -> AppliedReport:
+    answered = {host: one for host, one in held.items() if one is not None}
+    return AppliedReport(
+        version=version,
+        applied=_hosts(
+            host for host, one in answered.items() if one >= version
+        ),
+        lagging=_hosts(host for host, one in answered.items() if one < version),
+        silent=_hosts(host for host in held if host not in answered),
+    )
+
+
+def _hosts(hosts: Iterable[HostId]) -> tuple[HostId, ...]:
+    return tuple(sorted(hosts))
--- /dev/null
+++ b/src/ragwortstand/operators/client.py
@@ -0,0 +1,201 @@
+"""ragwortstand.operators.client: HTTP client of the admin interface."""
+
+import time
+from collections.abc import Iterator, Sequence
+from typing import TypeVar
+from urllib.parse import urlencode
+
+import httpcore
+import msgspec
+
+from ragwortstand.exceptions import RagwortstandError
+from ragwortstand.ids import SubmissionId, Version
+from ragwortstand.operators.documents import (
+    AppliedReport,
+    CheckReport,
+    ErrorReport,
+    HistoryReport,
+    MembersReport,
+    StatusReport,
+    SubmissionReport,
+)
+from ragwortstand.verdicts import Verdict
+
+_Document = TypeVar('_Document')
+_TIMEOUT_S = 30.0
+_CONNECT_TIMEOUT_S = 2.0
+_ROUNDS = 3
+_PAUSE_S = 0.3
+
+
+class AdminError(RagwortstandError):
+    """A daemon refused an operator's request.
+
+    :param problem: the daemon's words.
+    :param status: HTTP status of the answer.
+    """
+
+    def __init__(self, problem: str, status: int) -> None:
+        """Keep the status beside the message."""
+        super().__init__(problem)
+        self.status = status
+
+
+class AdminUnreachableError(RagwortstandError):
+    """No daemon answered.
+
+    :param problem: what happened at the last daemon that was tried.
+    :param verdict: whether the request may have taken effect.
+    """
+
+    def __init__(self, problem: str, verdict: Verdict) -> None:
+        """Keep the verdict beside the message."""
+        super().__init__(problem)
+        self.verdict = verdict
+
+
+class AdminClient:
+    """Talks to the first of several daemons that answers.
+
+    Usage::
+
+        >>> with AdminClient(['http://127.0.0.1:7002'], token) as client:
+        ...     client.status().version
+
+    :param urls: base URLs of the admin side of daemons, in order.
+    :param token: bearer token.
+    """
+
+    def __init__(self, urls: Sequence[str], token: str) -> None:
+        """Prepare the pool; connections are opened on first use."""
+        self._urls = tuple(url.rstrip('/') for url in urls)
+        self._headers = {'authorization': f'Bearer {token}'}
+        self._pool = httpcore.ConnectionPool()
+
+    def __enter__(self) -> 'AdminClient':
+        """Return the client itself."""
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        """Close all connections."""
+        self._pool.close()
+
+    def check(self, content: bytes) -> CheckReport:
+        """Return the faults of a configuration."""
+        return self._ask('POST', '/v1/check', CheckReport, content)
+
+    def submit(
+        self,
+        content: bytes,
+        submission: SubmissionId,
+        base: Version,
+        author: str,
+    ) -> SubmissionReport:
+        """Submit a configuration; repeating it does no harm.
+
+        :param content: JSON text.
+        :param submission: id that all repetitions share.
+        :param base: version on which the configuration was built.
+        :param author: who submits.
+        """
+        query = {'submission': submission, 'base': base, 'author': author}
+        path = f'/v1/submit?{urlencode(query)}'
+        return self._ask('POST', path, SubmissionReport, content)
+
+    def status(self) -> StatusReport:
+        """Return the state of the daemon that answers."""
+        return self._ask('GET', '/v1/status', StatusReport)
+
+    def applied(self, version: Version | None = None) -> AppliedReport:
+        """Return which daemons have a version in force."""
+        query = '' if version is None else f'?version={version}'
+        return self._ask('GET', f'/v1/applied{query}', AppliedReport)
+
+    def history(self, limit: int) -> HistoryReport:
+        """Return the newest accepted versions, newest first."""
+        return self._ask('GET', f'/v1/history?limit={limit}', HistoryReport)
+
+    def content(self, version: Version) -> bytes:
+        """Return the canonical JSON of an accepted version."""
+        return self._call('GET', f'/v1/versions/{version}').content
+
+    def members(self) -> MembersReport:
+        """Return the members as the answering daemon sees them."""
+        return self._ask('GET', '/v1/members', MembersReport)
+
+    def drain(self) -> StatusReport:
+        """Make the first daemon refuse new work."""
+        return self._ask('POST', '/v1/drain', StatusReport)
+
+    def metrics(self) -> str:
+        """Return the metrics of the daemon that answers."""
+        return self._call('GET', '/metrics').content.decode()
+
+    def _ask(
+        self,
+        method: str,
+        path: str,
+        form: type[_Document],
+        body: bytes = b'',
+    ) -> _Document:
+        answer = self._call(method, path, body)
+        return msgspec.json.decode(answer.content, type=form)
+
+    def _call(
+        self,
+        method: str,
+        path: str,
+        body: bytes = b'',
+    ) -> httpcore.Response:
+        verdict = Verdict.NOT_RUN
+        problem = 'no admin URL is known'
+        for url in self._tries():
+            try:
+                answer = self._request(method, url + path, body)
+            except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
+                problem = f'{url}: {error}'
+            except (
+                httpcore.NetworkError,
+                httpcore.ProtocolError,
+                httpcore.TimeoutException,
+            ) as error:
+                problem = f'{url}: {error!r}'
+                verdict = Verdict.MAY_HAVE_RUN
+            else:
+                return _checked(answer)
+        raise AdminUnreachableError(problem, verdict)
+
+    def _tries(self) -> Iterator[str]:
+        for _ in range(_ROUNDS):
+            yield from self._urls
+            time.sleep(_PAUSE_S)
+
+    def _request(
+        self,
+        method: str,
+        url: str,
+        body: bytes,
+    ) -> httpcore.Response:
+        timeouts = {
+            'connect': _CONNECT_TIMEOUT_S,
+            'read': _TIMEOUT_S,
+            'write': _TIMEOUT_S,
+        }
+        return self._pool.request(
+            method,
+            url,
+            headers=self._headers,
+            content=body,
+            extensions={'timeout': timeouts},
+        )
+
+
+def _checked(answer: httpcore.Response) -> httpcore.Response:
+    """Return an answer that carries the document that was asked for."""
+    if answer.status == 200:
+        return answer
+    try:
+        problem = msgspec.json.decode(answer.content, type=ErrorReport)
+    except msgspec.DecodeError:
+        return answer
+    raise AdminError(problem.problem, answer.status)
--- /dev/null
+++ b/src/ragwortstand/operators/render.py
@@ -0,0 +1,139 @@
+"""ragwortstand.operators.render: documents as text for a terminal."""
+
+import datetime
+import difflib
+import json
+from collections.abc import Sequence
+
+import msgspec
+
+from ragwortstand.operators.documents import (
+    AppliedReport,
+    FaultReport,
+    HistoryReport,
+    MembersReport,
+    StatusReport,
+    SubmissionReport,
+)
+from ragwortstand.platform import VersionRecord
+
+
+class Difference(msgspec.Struct, frozen=True):
+    """Unified difference of two versions."""
+
+    difference: str
+
+
+def faults(found: Sequence[FaultReport]) -> str:
+    """Return one line for each fault."""
+    if not found:
+        return 'no faults'
+    return '\n'.join(f'{fault.path}: {fault.problem}' for fault in found)
+
+
+def submission(outcome: SubmissionReport) -> str:
+    """Return what became of a submission."""
+    record = outcome.record
+    match outcome.outcome:
+        case 'accepted' if record:
+            return f'accepted as version {record.version}'
+        case 'conflict' if record:
+            return (
+                f'refused: version {record.version} by {record.author} '
+                f'(submission {record.submission}) came first; '
+                'build on it and submit again'
+            )
+        case 'faulty':
+            return faults(outcome.faults)
+        case 'conflict':
+            return 'refused: the base version does not exist'
+    return f'{outcome.verdict}: {outcome.problem}'
+
+
+def status(found: StatusReport) -> str:
+    """Return the state of one daemon."""
+    platform = 'reachable' if found.is_platform_reachable else 'unreachable'
+    lines = (
+        f'host            {found.host}',
+        f'version         {found.version}',
+        f'ready           {_yes(found.is_ready)}',
+        f'backend server  {found.backend_server}',
+        f'in flight       {found.in_flight}',
+        f'platform        {platform}',
+    )
+    return '\n'.join(lines)
+
+
+def applied(found: AppliedReport) -> str:
+    """Return which daemons have a version in force."""
+    if found.is_complete:
+        count = len(found.applied)
+        return f'version {found.version} is in force on all {count} daemons'
+    lines = [
+        f'version {found.version} is in force on {len(found.applied)} daemons',
+    ]
+    lines.extend(f'lagging: {host}' for host in found.lagging)
+    lines.extend(f'silent:  {host}' for host in found.silent)
+    return '\n'.join(lines)
+
+
+def history(found: HistoryReport) -> str:
+    """Return one line for each accepted version."""
+    if not found.versions:
+        return 'no version was accepted yet'
+    return '\n'.join(_version_line(record) for record in found.versions)
+
+
+def members(found: MembersReport) -> str:
+    """Return a table of members."""
+    line = '{0:<20} {1:<16} {2:<18} {3:<8} {4:<12} {5:>5} {6}'.format
+    lines = [
+        line('HOST', 'REGION', 'ZONE', 'STATE', 'SERVICE', 'SLOTS', 'READY'),
+    ]
+    lines.extend(
+        line(
+            member.host,
+            member.region,
+            member.zone,
+            member.state,
+            member.service or '-',
+            member.slots,
+            _yes(member.is_ready),
+        )
+        for member in found.members
+    )
+    return '\n'.join(lines)
+
+
+def difference(
+    old: bytes,
+    new: bytes,
+    old_version: int,
+    new_version: int,
+) -> str:
+    """Return the unified difference of two canonical configurations."""
+    lines = difflib.unified_diff(
+        _pretty(old),
+        _pretty(new),
+        f'version {old_version}',
+        f'version {new_version}',
+        lineterm='',
+    )
+    return '\n'.join(lines)
+
+
+def _pretty(content: bytes) -> list[str]:
+    return json.dumps(json.loads(content), indent=2).splitlines()
+
+
+def _version_line(record: VersionRecord) -> str:
+    moment = datetime.datetime.fromtimestamp(
+        record.accepted_unix_s, tz=datetime.UTC
+    )
+    when = moment.isoformat(timespec='seconds')
+    digest = record.digest[:12]
+    return f'{record.version:>6}  {when}  {digest}  {record.author}'
+
+
+def _yes(flag: bool) -> str:
+    return 'yes' if flag else 'no'
--- /dev/null
+++ b/src/ragwortstand/peers/__init__.py
@@ -0,0 +1,1 @@
+"""ragwortstand.peers: the other daemons."""
--- /dev/null
+++ b/src/ragwortstand/peers/choice.py
@@ -0,0 +1,308 @@
+"""ragwortstand.peers.choice: which backend server gets a request."""
+
+import random
+from collections.abc import Collection, Sequence
+from dataclasses import dataclass
+from typing import Protocol
+
+from ragwortstand.ids import HostId, RegionName, ZoneName
+from ragwortstand.models import Rank
+from ragwortstand.peers.messages import Member
+from ragwortstand.verdicts import Answered, Cause, Outcome
+
+_MEAN_WEIGHT = 0.2
+_SIGNAL_LIFE_S = 3.0
+_BUSY_LIFE_S = 0.5
+_SLOW_FACTOR = 3.0
+_SLOW_SLACK_S = 0.05
+_BLOCK_MIN_S = 0.5
+_BLOCK_MAX_S = 5.0
+_TARGET_FAILURES = frozenset(
+    (
+        Cause.BACKEND_SERVER_DOWN,
+        Cause.CONNECTION_LOST,
+        Cause.CRASHED,
+        Cause.LEAVING,
+        Cause.NO_BACKEND_SERVER,
+        Cause.PEER_UNREACHABLE,
+    ),
+)
+
+
+@dataclass(slots=True)
+class Signal:
+    """What recent calls of one rank told of one backend server.
+
+    :param outstanding: calls that this daemon waits on.
+    :param latency_s: mean time to answer; 0 means unknown.
+    :param busy: slots in use and requests queued, per slot.
+    :param heard_at_s: time of the last outcome.
+    :param failures: failures in a row.
+    :param blocked_until_s: when it may be tried again.
+    """
+
+    outstanding: int = 0
+    latency_s: float = 0.0
+    busy: float = 0.0
+    heard_at_s: float = 0.0
+    failures: int = 0
+    blocked_until_s: float = 0.0
+
+
+class Choice(Protocol):
+    """Chooses among the members that offer a service."""
+
+    def choose(
+        self,
+        members: Sequence[Member],
+        rank: Rank,
+        tried: Collection[HostId],
+        now_s: float,
+    ) -> Member | None:
+        """Return the member to send a request to."""
+
+    def started(self, host: HostId, rank: Rank) -> None:
+        """Note that a request was sent to a host."""
+
+    def finished(
+        self,
+        host: HostId,
+        rank: Rank,
+        outcome: Outcome,
+        busy: float,
+        taken_s: float,
+        now_s: float,
+    ) -> None:
+        """Take in the outcome of a request."""
+
+
+@dataclass(frozen=True, slots=True)
+class Place:
+    """Where a daemon is."""
+
+    host: HostId
+    zone: ZoneName
+    region: RegionName
+
+    def distance(self, member: Member) -> int:
+        """Return 0 for this host, 1 zone, 2 region, 3 another region."""
+        if member.host == self.host:
+            return 0
+        if member.zone == self.zone:
+            return 1
+        return 2 if member.region == self.region else 3
+
+
+class SignalChoice:
+    """Power of two choices on in-band signals, nearest members first.
+
+    The nearest tier with a member that has free slots and is not slow gets
+    the request. Ranks that may not use links between regions stay in the
+    region.
+
+    :param place: where this daemon is.
+    :param rng: source of randomness.
+    """
+
+    def __init__(self, place: Place, rng: random.Random) -> None:
+        """Start without signals."""
+        self._place = place
+        self._rng = rng
+        self._signals: dict[tuple[HostId, str], Signal] = {}
+
+    def choose(
+        self,
+        members: Sequence[Member],
+        rank: Rank,
+        tried: Collection[HostId],
+        now_s: float,
+    ) -> Member | None:
+        """Return the member to send a request to.
+
+        :param members: the members that offer the service.
+        :param rank: rank of the request.
+        :param tried: hosts that the request was sent to before.
+        :param now_s: present time.
+        """
+        tiers = self._tiers(members, rank, tried)
+        best_s = self._best_latency_s(members, rank, now_s)
+        spare: list[Member] = []
+        for tier in tiers:
+            open_members = [
+                member
+                for member in tier
+                if self._signal(member.host, rank).blocked_until_s <= now_s
+            ]
+            if open_members:
+                picked = self._pick(open_members, rank, now_s)
+                if self._is_good(picked, rank, best_s, now_s):
+                    return picked
+                spare.append(picked)
+        if spare:
+            return min(spare, key=lambda one: self._cost(one, rank, now_s))
+        return self._least_blocked(tiers, rank)
+
+    def started(self, host: HostId, rank: Rank) -> None:
+        """Note that a request was sent to a host."""
+        self._signal(host, rank).outstanding += 1
+
+    def finished(
+        self,
+        host: HostId,
+        rank: Rank,
+        outcome: Outcome,
+        busy: float,
+        taken_s: float,
+        now_s: float,
+    ) -> None:
+        """Take in the outcome of a request.
+
+        :param host: where it was sent.
+        :param rank: rank of the request.
+        :param outcome: what became of it.
+        :param busy: load that came with the outcome.
+        :param taken_s: time from sending to the outcome.
+        :param now_s: present time.
+        """
+        signal = self._signal(host, rank)
+        signal.outstanding -= 1
+        signal.busy = busy
+        if isinstance(outcome, Answered):
+            is_known = self._is_recent(signal, now_s) and signal.latency_s
+            weight = _MEAN_WEIGHT if is_known else 1.0
+            signal.latency_s += weight * (taken_s - signal.latency_s)
+            signal.failures = 0
+        elif outcome.cause in _TARGET_FAILURES:
+            self._block(signal, now_s)
+        elif outcome.cause is Cause.DEADLINE:
+            signal.latency_s = max(signal.latency_s, taken_s)
+        signal.heard_at_s = now_s
+
+    def _signal(self, host: HostId, rank: Rank) -> Signal:
+        key = (host, rank.name)
+        signal = self._signals.get(key)
+        if signal is None:
+            signal = Signal()
+            self._signals[key] = signal
+        return signal
+
+    def _tiers(
+        self,
+        members: Sequence[Member],
+        rank: Rank,
+        tried: Collection[HostId],
+    ) -> list[list[Member]]:
+        tiers: list[list[Member]] = [[], [], [], []]
+        for member in members:
+            if member.host not in tried:
+                tiers[self._place.distance(member)].append(member)
+        return tiers if rank.cross_region else tiers[:3]
+
+    def _pick(
+        self,
+        members: list[Member],
+        rank: Rank,
+        now_s: float,
+    ) -> Member:
+        if len(members) == 1:
+            return members[0]
+        pair = self._rng.sample(members, 2)
+        return min(pair, key=lambda one: self._cost(one, rank, now_s))
+
+    def _cost(self, member: Member, rank: Rank, now_s: float) -> float:
+        signal = self._signal(member.host, rank)
+        latency_s = 0.0
+        if self._is_recent(signal, now_s):
+            latency_s = signal.latency_s
+        load = self._load(signal, member, now_s)
+        return (1 + load) * (latency_s + _SLOW_SLACK_S / 10)
+
+    def _load(self, signal: Signal, member: Member, now_s: float) -> float:
+        own = signal.outstanding / max(1, member.slots)
+        age_s = now_s - signal.heard_at_s
+        if age_s > _BUSY_LIFE_S:
+            return own
+        return max(own, signal.busy)
+
+    def _is_recent(self, signal: Signal, now_s: float) -> bool:
+        return now_s - signal.heard_at_s < _SIGNAL_LIFE_S
+
+    def _best_latency_s(
+        self,
+        members: Sequence[Member],
+        rank: Rank,
+        now_s: float,
+    ) -> float:
+        known = [
+            signal.latency_s
+            for signal in (self._signal(one.host, rank) for one in members)
+            if signal.latency_s and self._is_recent(signal, now_s)
+        ]
+        return min(known, default=0.0)
+
+    def _is_good(
+        self,
+        member: Member,
+        rank: Rank,
+        best_s: float,
+        now_s: float,
+    ) -> bool:
+        signal = self._signal(member.host, rank)
+        if self._load(signal, member, now_s) >= 1:
+            return False
+        if not best_s or not self._is_recent(signal, now_s):
+            return True
+        return signal.latency_s <= best_s * _SLOW_FACTOR + _SLOW_SLACK_S
+
+    def _least_blocked(
+        self,
+        tiers: list[list[Member]],
+        rank: Rank,
+    ) -> Member | None:
+        blocked = [member for tier in tiers for member in tier]
+        return min(
+            blocked,
+            key=lambda one: self._signal(one.host, rank).blocked_until_s,
+            default=None,
+        )
+
+    def _block(self, signal: Signal, now_s: float) -> None:
+        block_s = min(_BLOCK_MAX_S, _BLOCK_MIN_S * 2**signal.failures)
+        signal.failures += 1
+        signal.blocked_until_s = now_s + block_s
+
+
+class RandomChoice:
+    """Any member with equal probability; the baseline.
+
+    :param rng: source of randomness.
+    """
+
+    def __init__(self, rng: random.Random) -> None:
+        """Keep the source of randomness."""
+        self._rng = rng
+
+    def choose(
+        self,
+        members: Sequence[Member],
+        rank: Rank,
+        tried: Collection[HostId],
+        now_s: float,
+    ) -> Member | None:
+        """Return a random member that was not tried."""
+        fresh = [member for member in members if member.host not in tried]
+        return self._rng.choice(fresh) if fresh else None
+
+    def started(self, host: HostId, rank: Rank) -> None:
+        """Ignore the start."""
+
+    def finished(
+        self,
+        host: HostId,
+        rank: Rank,
+        outcome: Outcome,
+        busy: float,
+        taken_s: float,
+        now_s: float,
+    ) -> None:
+        """Ignore the outcome."""
--- /dev/null
+++ b/src/ragwortstand/peers/distribution.py
@@ -0,0 +1,311 @@
+"""ragwortstand.peers.distribution: carries versions to every daemon.
+
+The readers of the store's region poll the head row; other regions read the
+store themselves only while no peer of another region is in sight. A daemon
+that puts a version in force offers it to a few members of its region, and
+the bridges offer it to the bridge of each other region. Probes carry the
+version too, which repairs whatever an offer missed.
+"""
+
+import contextlib
+import random
+
+import anyio
+import anyio.abc
+import zstandard
+
+from ragwortstand.events import Event, EventLog
+from ragwortstand.exceptions import PeerError, PlatformError
+from ragwortstand.ids import NO_VERSION, PeerAddress, Version
+from ragwortstand.metrics import Metrics
+from ragwortstand.models import MAX_CONFIGURATION_BYTES
+from ragwortstand.peers.links import Links
+from ragwortstand.peers.members import Members
+from ragwortstand.peers.messages import (
+    Applied,
+    AskApplied,
+    FetchVersion,
+    Member,
+    NotHeld,
+    OfferVersion,
+    VersionContent,
+)
+from ragwortstand.platform import Acceptance, VersionRecord
+from ragwortstand.settings import PlatformSettings
+from ragwortstand.versions import Offer, Snapshot, VersionGate
+
+_FANOUT = 4
+_READERS = 2
+_SECOND_READER_DELAY_S = 1.0
+_ASKED_AT_START = 16
+_PEER_TIMEOUT_S = 2.0
+_RETRY_S = 0.5
+
+
+class Distributor:
+    """Fetches, applies and passes on versions of the configuration.
+
+    :param gate: holds the version in force.
+    :param acceptance: reads accepted versions from the platform.
+    :param members: the list of members.
+    :param links: links to the other daemons.
+    :param settings: where the store is and how often it is read.
+    :param metrics: counts refused versions.
+    :param log: tells of applied and refused versions.
+    :param rng: source of randomness.
+    """
+
+    def __init__(
+        self,
+        gate: VersionGate,
+        acceptance: Acceptance,
+        members: Members,
+        links: Links,
+        settings: PlatformSettings,
+        metrics: Metrics,
+        log: EventLog,
+        rng: random.Random,
+    ) -> None:
+        """Keep the collaborators."""
+        self._gate = gate
+        self._acceptance = acceptance
+        self._members = members
+        self._links = links
+        self._settings = settings
+        self._metrics = metrics
+        self._log = log
+        self._rng = rng
+        self._tasks: anyio.abc.TaskGroup | None = None
+        self._is_fetching = False
+        self._newest_heard = NO_VERSION
+        self.is_settled = False
+        gate.subscribe(self._on_applied)
+
+    async def run(self) -> None:
+        """Settle on a version, then follow newer ones until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            self._tasks = tasks
+            await self._settle()
+            while True:
+                jitter = self._rng.uniform(0.9, 1.1)
+                await anyio.sleep(self._settings.poll_interval_s * jitter)
+                await self._poll()
+
+    def heard(self, version: Version, address: PeerAddress) -> None:
+        """Fetch a version from a peer that holds a newer one.
+
+        :param version: the version that the peer holds.
+        :param address: where the peer listens.
+        """
+        self._newest_heard = max(self._newest_heard, version)
+        if version <= self._gate.version or self._is_fetching:
+            return
+        if self._tasks:
+            self._is_fetching = True
+            self._tasks.start_soon(self._fetch_in_turn, version, address)
+
+    def on_fetch(self, request: FetchVersion) -> VersionContent | NotHeld:
+        """Answer with the content of the version in force.
+
+        :param request: what the peer wants and what it holds.
+        """
+        snapshot = self._gate.snapshot
+        if snapshot is None or snapshot.version < request.version:
+            return NotHeld()
+        base = self._gate.content(request.held) or b''
+        payload = compress(snapshot.content, base)
+        held = request.held if base else NO_VERSION
+        version = snapshot.version
+        return VersionContent(version, snapshot.digest, held, payload)
+
+    async def ask_applied(self, member: Member) -> Version | None:
+        """Return the version in force at a member, None without an answer."""
+        try:
+            reply = await self._links.ask(
+                member.peer_address, AskApplied(), _PEER_TIMEOUT_S
+            )
+        except PeerError:
+            return None
+        return reply.version if isinstance(reply, Applied) else None
+
+    async def _settle(self) -> None:
+        """Find a version no older than the one served here before."""
+        while not self.is_settled:
+            self.is_settled = await self._settle_once()
+            if not self.is_settled:
+                await anyio.sleep(_RETRY_S * self._rng.uniform(0.5, 1.5))
+
+    async def _settle_once(self) -> bool:
+        try:
+            head = await self._acceptance.head()
+        except PlatformError:
+            return await self._settle_by_peers()
+        if head is None or head.version <= self._gate.version:
+            return True
+        return await self._fetch_from_any(head)
+
+    async def _settle_by_peers(self) -> bool:
+        """Take the highest version among peers while the store is out."""
+        peers = self._members.peers()
+        chosen = self._rng.sample(peers, min(_ASKED_AT_START, len(peers)))
+        held: dict[PeerAddress, Version] = {}
+
+        async def ask(member: Member) -> None:
+            version = await self.ask_applied(member)
+            if version is not None:
+                held[member.peer_address] = version
+
+        async with anyio.create_task_group() as questions:
+            for member in chosen:
+                questions.start_soon(ask, member)
+        if not held:
+            return False
+        address = max(held, key=held.__getitem__)
+        if held[address] > self._gate.version:
+            await self._fetch(held[address], address)
+        return 0 < held[address] <= self._gate.version
+
+    async def _fetch_from_any(self, record: VersionRecord) -> bool:
+        """Fetch a version from a peer of the region, else from the store."""
+        near = [
+            peer
+            for peer in self._members.peers()
+            if peer.region == self._members.own.region
+        ]
+        for peer in self._rng.sample(near, min(2, len(near))):
+            if await self._fetch(record.version, peer.peer_address):
+                return True
+        return await self._fetch_from_store(record)
+
+    async def _poll(self) -> None:
+        """Read the head row where this daemon is a reader."""
+        position = self._reader_position()
+        if position is None:
+            return
+        try:
+            head = await self._acceptance.head()
+            if head is None or head.version <= self._gate.version:
+                return
+            if position:
+                await anyio.sleep(_SECOND_READER_DELAY_S)
+            if head.version > self._gate.version:
+                await self._fetch_from_store(head)
+        except PlatformError:
+            return
+
+    def _reader_position(self) -> int | None:
+        own = self._members.own
+        region = own.region
+        if region != self._settings.region and self._sees_store_region():
+            return None
+        readers = self._members.leaders('reader', _READERS, region=region)
+        return readers.index(own) if own in readers else None
+
+    def _sees_store_region(self) -> bool:
+        return any(
+            peer.region == self._settings.region
+            for peer in self._members.peers()
+        )
+
+    async def _fetch_from_store(self, record: VersionRecord) -> bool:
+        try:
+            content = await self._acceptance.content(record.digest)
+        except PlatformError:
+            return False
+        if content is None:
+            return False
+        offer = self._gate.offer(record.version, record.digest, content)
+        self._report(offer, record.version)
+        return record.version <= self._gate.version
+
+    async def _fetch_in_turn(
+        self,
+        version: Version,
+        address: PeerAddress,
+    ) -> None:
+        try:
+            await self._fetch(version, address)
+        finally:
+            self._is_fetching = False
+
+    async def _fetch(self, version: Version, address: PeerAddress) -> bool:
+        request = FetchVersion(version, self._gate.version)
+        try:
+            reply = await self._links.ask(address, request, _PEER_TIMEOUT_S)
+        except PeerError:
+            return False
+        if not isinstance(reply, VersionContent):
+            return False
+        base = self._gate.content(reply.base) or b''
+        try:
+            content = decompress(reply.payload, base)
+        except zstandard.ZstdError:
+            content = b''
+        offer = self._gate.offer(reply.version, reply.digest, content)
+        self._report(offer, reply.version)
+        return version <= self._gate.version
+
+    def _report(self, offer: Offer, version: Version) -> None:
+        if offer in {Offer.WRONG_DIGEST, Offer.INVALID}:
+            self._metrics.versions_refused.labels(offer.value).inc()
+            self._log.emit(
+                Event.VERSION_REFUSED, version=version, cause=offer.value
+            )
+
+    def _on_applied(self, snapshot: Snapshot) -> None:
+        self._metrics.version.set(snapshot.version)
+        self._log.emit(
+            Event.APPLIED, version=snapshot.version, digest=snapshot.digest
+        )
+        if self._tasks is None:
+            return
+        for peer in self._push_targets():
+            self._tasks.start_soon(self._offer, snapshot.version, peer)
+
+    def _push_targets(self) -> list[Member]:
+        own = self._members.own
+        peers = self._members.peers()
+        near = [peer for peer in peers if peer.region == own.region]
+        chosen = self._rng.sample(near, min(_FANOUT, len(near)))
+        if own in self._members.leaders('bridge', 2, region=own.region):
+            regions = {peer.region for peer in peers} - {own.region}
+            for region in sorted(regions):
+                chosen.extend(self._members.leaders('bridge', 1, region=region))
+        return chosen
+
+    async def _offer(self, version: Version, peer: Member) -> None:
+        with contextlib.suppress(PeerError):
+            await self._links.ask(
+                peer.peer_address, OfferVersion(version), _PEER_TIMEOUT_S
+            )
+
+
+def compress(content: bytes, base: bytes) -> bytes:
+    """Return content as a zstd frame.
+
+    :param content: what to compress.
+    :param base: content of an older version, used as the dictionary, or
+        nothing.
+    """
+    return zstandard.ZstdCompressor(dict_data=_dictionary(base)).compress(
+        content
+    )
+
+
+def decompress(payload: bytes, base: bytes) -> bytes:
+    """Return the content of a zstd frame.
+
+    :param payload: the frame.
+    :param base: the dictionary that `compress` was given.
+    :raises zstandard.ZstdError: when the frame is damaged or too large.
+    """
+    reader = zstandard.ZstdDecompressor(dict_data=_dictionary(base))
+    return reader.decompress(payload, max_output_size=MAX_CONFIGURATION_BYTES)
+
+
+def _dictionary(base: bytes) -> zstandard.ZstdCompressionDict | None:
+    if not base:
+        return None
+    return zstandard.ZstdCompressionDict(
+        base, dict_type=zstandard.DICT_TYPE_RAWCONTENT
+    )
--- /dev/null
+++ b/src/ragwortstand/peers/gossip.py
@@ -0,0 +1,239 @@
+"""ragwortstand.peers.gossip: probes, suspicion and the spread of news.
+
+A daemon probes one member of its availability zone each interval. Two
+members of each zone, chosen by rendezvous hashing, also probe one member of
+each other zone of their region, and two members of each region one member of
+each other region. News of members rides on the probes, as in SWIM.
+"""
+
+import random
+from collections.abc import Callable, Iterable
+
+import anyio
+import anyio.abc
+
+from ragwortstand.exceptions import PeerError
+from ragwortstand.ids import HostId, PeerAddress, Version
+from ragwortstand.peers.links import Links
+from ragwortstand.peers.members import Members
+from ragwortstand.peers.messages import (
+    IndirectPing,
+    IndirectPong,
+    Join,
+    Member,
+    MemberList,
+    MemberState,
+    Ping,
+    Pong,
+)
+from ragwortstand.settings import MembershipSettings
+
+_BRIDGES = 2
+_HELPERS = 2
+_NEWS_FANOUT = 3
+_JITTER = 0.1
+_PAUSE_FACTOR = 3.0
+_JOIN_TIMEOUT_S = 2.0
+
+VersionListener = Callable[[Version, PeerAddress], None]
+
+
+class Gossip:
+    """Keeps the list of members true.
+
+    :param members: the list.
+    :param links: links to the other daemons.
+    :param settings: intervals and timeouts.
+    :param version_in_force: returns this daemon's version.
+    :param on_version: told of the version that a peer holds.
+    :param rng: source of randomness.
+    """
+
+    def __init__(
+        self,
+        members: Members,
+        links: Links,
+        settings: MembershipSettings,
+        version_in_force: Callable[[], Version],
+        on_version: VersionListener,
+        rng: random.Random,
+    ) -> None:
+        """Keep the collaborators."""
+        self._members = members
+        self._links = links
+        self._settings = settings
+        self._version_in_force = version_in_force
+        self._on_version = on_version
+        self._rng = rng
+        self._round: list[HostId] = []
+
+    async def run(self) -> None:
+        """Probe until cancelled."""
+        interval_s = self._settings.probe_interval_s
+        async with anyio.create_task_group() as probes:
+            before_s = anyio.current_time()
+            while True:
+                jitter = self._rng.uniform(1 - _JITTER, 1 + _JITTER)
+                await anyio.sleep(interval_s * jitter)
+                now_s = anyio.current_time()
+                if now_s - before_s > interval_s * _PAUSE_FACTOR:
+                    self._members.postpone(now_s)
+                before_s = now_s
+                self._members.expire(now_s)
+                for target in self.targets():
+                    probes.start_soon(self._probe, target)
+
+    def targets(self) -> list[Member]:
+        """Return the members to probe in this interval."""
+        own = self._members.own
+        peers = self._members.peers()
+        groups = [[peer for peer in peers if peer.zone == own.zone]]
+        if own in self._members.leaders('bridge', _BRIDGES, zone=own.zone):
+            near = [peer for peer in peers if peer.region == own.region]
+            groups.extend(_grouped(near, own.zone, _zone))
+        if own in self._members.leaders('bridge', _BRIDGES, region=own.region):
+            groups.extend(_grouped(peers, own.region, _region))
+        first = self._next_of(groups[0])
+        others = [self._rng.choice(group) for group in groups[1:] if group]
+        return ([first] if first else []) + others
+
+    async def spread(self) -> None:
+        """Tell a few random members the news at once."""
+        peers = self._members.peers()
+        chosen = self._rng.sample(peers, min(_NEWS_FANOUT, len(peers)))
+        async with anyio.create_task_group() as probes:
+            for peer in chosen:
+                probes.start_soon(self._ping, peer)
+
+    async def join(self, address: PeerAddress) -> bool:
+        """Ask a daemon for the list of members.
+
+        :param address: where it listens.
+        :returns: whether it answered.
+        """
+        request = Join(self._members.own)
+        try:
+            reply = await self._links.ask(address, request, _JOIN_TIMEOUT_S)
+        except PeerError:
+            return False
+        if not isinstance(reply, MemberList):
+            return False
+        self._members.merge(reply.members, anyio.current_time())
+        self._on_version(reply.version, address)
+        return True
+
+    def on_ping(self, sender: HostId, ping: Ping) -> Pong:
+        """Answer a probe.
+
+        :param sender: the host that probes.
+        :param ping: the probe.
+        """
+        now_s = anyio.current_time()
+        self._members.merge(ping.news, now_s)
+        member = self._members.get(sender)
+        if member:
+            self._members.vouch(sender, now_s)
+            self._on_version(ping.version, member.peer_address)
+        return Pong(self._version_in_force(), self._news_for(sender))
+
+    async def on_indirect_ping(self, request: IndirectPing) -> IndirectPong:
+        """Probe a third daemon for the sender."""
+        member = self._members.get(request.host)
+        if member is None:
+            return IndirectPong(is_alive=False)
+        return IndirectPong(await self._ping(member))
+
+    def on_join(self, request: Join) -> MemberList:
+        """Answer a newcomer with the list of members."""
+        self._members.merge([request.member], anyio.current_time())
+        return MemberList(self._members.all(), self._version_in_force())
+
+    async def _probe(self, target: Member) -> None:
+        if await self._ping(target):
+            return
+        if await self._ping_indirectly(target):
+            return
+        self._members.suspect(target.host, anyio.current_time())
+
+    async def _ping(self, target: Member) -> bool:
+        ping = Ping(self._version_in_force(), self._news_for(target.host))
+        timeout_s = self._settings.probe_timeout_s
+        try:
+            reply = await self._links.ask(target.peer_address, ping, timeout_s)
+        except PeerError:
+            return False
+        if not isinstance(reply, Pong):
+            return False
+        now_s = anyio.current_time()
+        self._members.merge(reply.news, now_s)
+        self._members.vouch(target.host, now_s)
+        self._on_version(reply.version, target.peer_address)
+        return True
+
+    async def _ping_indirectly(self, target: Member) -> bool:
+        helpers = [
+            peer
+            for peer in self._members.peers()
+            if peer.host != target.host and peer.state is MemberState.ALIVE
+        ]
+        chosen = self._rng.sample(helpers, min(_HELPERS, len(helpers)))
+        answers: list[bool] = []
+        async with anyio.create_task_group() as probes:
+            for helper in chosen:
+                probes.start_soon(self._ask_helper, helper, target, answers)
+        return any(answers)
+
+    async def _ask_helper(
+        self,
+        helper: Member,
+        target: Member,
+        answers: list[bool],
+    ) -> None:
+        request = IndirectPing(target.host)
+        timeout_s = self._settings.probe_timeout_s * 2
+        try:
+            reply = await self._links.ask(
+                helper.peer_address, request, timeout_s
+            )
+        except PeerError:
+            return
+        answers.append(isinstance(reply, IndirectPong) and reply.is_alive)
+
+    def _news_for(self, host: HostId) -> tuple[Member, ...]:
+        """Return news, and a suspicion against the host for it to refute."""
+        news = self._members.take_news()
+        member = self._members.get(host)
+        if member and member.state is not MemberState.ALIVE:
+            return (*news, member)
+        return news
+
+    def _next_of(self, group: list[Member]) -> Member | None:
+        """Return members in rounds, each round in a new random order."""
+        by_host = {member.host: member for member in group}
+        while self._round:
+            found = by_host.get(self._round.pop())
+            if found:
+                return found
+        self._round = list(by_host)
+        self._rng.shuffle(self._round)
+        return by_host[self._round.pop()] if self._round else None
+
+
+def _zone(member: Member) -> str:
+    return member.zone
+
+
+def _region(member: Member) -> str:
+    return member.region
+
+
+def _grouped(
+    members: Iterable[Member],
+    own: str,
+    part: Callable[[Member], str],
+) -> list[list[Member]]:
+    groups: dict[str, list[Member]] = {}
+    for member in members:
+        if part(member) != own:
+            groups.setdefault(part(member), []).append(member)
+    return list(groups.values())
--- /dev/null
+++ b/src/ragwortstand/peers/joining.py
@@ -0,0 +1,122 @@
+"""ragwortstand.peers.joining: how a daemon finds the others.
+
+A newcomer reads the entry points from the platform's table and asks one of
+them for the members. Two members of each availability zone keep the rows
+fresh. They also join entry points that they do not know, which merges two
+groups of daemons that have never met.
+"""
+
+import random
+import time
+
+import anyio
+
+from ragwortstand.exceptions import PlatformError
+from ragwortstand.ids import PeerAddress
+from ragwortstand.peers.gossip import Gossip
+from ragwortstand.peers.members import Members
+from ragwortstand.platform import EntryPoint, EntryPoints
+
+_KEEPERS = 2
+_ALONE_INTERVAL_S = 0.5
+_YOUNG_INTERVAL_S = 2.0
+_YOUNG_S = 20.0
+_INTERVAL_S = 15.0
+_MAX_JOINS = 3
+
+
+class Joiner:
+    """Joins the other daemons and keeps the entry points.
+
+    :param members: the list of members.
+    :param gossip: asks for the list of members.
+    :param entry_points: rows of the platform's table.
+    :param fixed: addresses from the settings.
+    :param rng: source of randomness.
+    """
+
+    def __init__(
+        self,
+        members: Members,
+        gossip: Gossip,
+        entry_points: EntryPoints,
+        fixed: tuple[str, ...],
+        rng: random.Random,
+    ) -> None:
+        """Keep the collaborators."""
+        self._members = members
+        self._gossip = gossip
+        self._entry_points = entry_points
+        self._fixed = tuple(PeerAddress(address) for address in fixed)
+        self._rng = rng
+
+    async def run(self) -> None:
+        """Join, then keep entry points until cancelled."""
+        started_s = anyio.current_time()
+        while True:
+            if not self._members.peers():
+                await self._join_fixed()
+            position = self._keeper_position()
+            if position is not None:
+                await self._keep()
+            age_s = anyio.current_time() - started_s
+            interval_s = self._interval_s(age_s)
+            await anyio.sleep(interval_s * self._rng.uniform(0.5, 1.5))
+
+    def _interval_s(self, age_s: float) -> float:
+        if not self._members.peers():
+            return _ALONE_INTERVAL_S
+        return _YOUNG_INTERVAL_S if age_s < _YOUNG_S else _INTERVAL_S
+
+    def _keeper_position(self) -> int | None:
+        own = self._members.own
+        keepers = self._members.leaders('entry', _KEEPERS, zone=own.zone)
+        return keepers.index(own) if own in keepers else None
+
+    async def _join_fixed(self) -> None:
+        for address in self._fixed:
+            if await self._gossip.join(address):
+                return
+
+    async def _keep(self) -> None:
+        try:
+            rows = await self._entry_points.read()
+            await self._join_unknown(rows)
+            position_now = self._keeper_position()
+            if position_now is not None:
+                await self._write(rows, position_now)
+        except PlatformError:
+            return
+
+    async def _join_unknown(self, rows: tuple[EntryPoint, ...]) -> None:
+        unknown = [row for row in rows if self._is_unknown(row)]
+        self._rng.shuffle(unknown)
+        for row in unknown[:_MAX_JOINS]:
+            if await self._gossip.join(row.peer_address):
+                return
+
+    def _is_unknown(self, row: EntryPoint) -> bool:
+        member = self._members.get(row.host)
+        if row.host == self._members.own.host:
+            return False
+        return member is None or member.peer_address != row.peer_address
+
+    async def _write(
+        self,
+        rows: tuple[EntryPoint, ...],
+        position: int,
+    ) -> None:
+        own = self._members.own
+        is_written = any(
+            row.host == own.host and row.peer_address == own.peer_address
+            for row in rows
+        )
+        if is_written:
+            return
+        entry_point = EntryPoint(
+            cluster=self._entry_points.cluster,
+            host=own.host,
+            peer_address=own.peer_address,
+            written_unix_s=time.time(),
+        )
+        await self._entry_points.write(own.zone, position, entry_point)
--- /dev/null
+++ b/src/ragwortstand/peers/listener.py
@@ -0,0 +1,132 @@
+"""ragwortstand.peers.listener: answers requests from other daemons."""
+
+import contextlib
+from collections.abc import Awaitable, Callable
+
+import anyio
+import anyio.abc
+import msgspec
+import pynng
+
+from ragwortstand.events import Event, EventLog
+from ragwortstand.ids import HostId, PeerAddress
+from ragwortstand.metrics import Metrics
+from ragwortstand.peers.messages import (
+    Envelope,
+    Refusal,
+    Reply,
+    Request,
+    Work,
+    WorkDone,
+    decode_envelope,
+    encode,
+)
+
+_SPARE_RECEIVERS = 4
+_SEND_TIMEOUT_S = 5.0
+
+Handler = Callable[[HostId, Request], Awaitable[Reply]]
+
+
+class Listener:
+    """A `Rep0` socket with one task for each request that is being answered.
+
+    A spare receiver is always waiting, so probes are answered however much
+    work is under way.
+
+    :param address: address to listen on, ``tcp://host:port``.
+    :param cluster: requests of other clusters are refused.
+    :param max_message_bytes: limit of a request.
+    :param metrics: counts control bytes and refused messages.
+    :param log: tells of refused messages.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        cluster: str,
+        max_message_bytes: int,
+        metrics: Metrics,
+        log: EventLog,
+    ) -> None:
+        """Listen; requests wait until `serve` runs."""
+        self._cluster = cluster
+        self._metrics = metrics
+        self._log = log
+        self._socket = pynng.Rep0(recv_max_size=max_message_bytes)
+        listener = self._socket.listen(address)
+        self.address = PeerAddress(f'tcp://{listener.local_address}')
+        self._idle = 0
+
+    async def serve(self, handler: Handler) -> None:
+        """Answer requests until cancelled.
+
+        :param handler: returns the reply to a request.
+        """
+        try:
+            async with anyio.create_task_group() as receivers:
+                receivers.start_soon(self._receive, receivers, handler)
+        finally:
+            self._socket.close()
+
+    async def _receive(
+        self,
+        receivers: anyio.abc.TaskGroup,
+        handler: Handler,
+    ) -> None:
+        with contextlib.closing(self._socket.new_context()) as context:
+            while self._idle < _SPARE_RECEIVERS:
+                self._idle += 1
+                try:
+                    wire: bytes = await context.arecv()
+                except pynng.Closed:
+                    return
+                finally:
+                    self._idle -= 1
+                if not self._idle:
+                    receivers.start_soon(self._receive, receivers, handler)
+                reply = await self._answer(wire, handler)
+                with contextlib.suppress(pynng.NNGException, TimeoutError):
+                    with anyio.fail_after(_SEND_TIMEOUT_S):
+                        await context.asend(encode(reply))
+
+    async def _answer(self, wire: bytes, handler: Handler) -> Reply:
+        try:
+            envelope = decode_envelope(wire)
+        except msgspec.DecodeError as error:
+            return self._refuse('malformed', f'malformed message: {error}')
+        if envelope.cluster != self._cluster:
+            problem = f'this is not cluster {envelope.cluster!r}'
+            return self._refuse('cluster', problem)
+        self._count(envelope, envelope.request, len(wire), 'received')
+        try:
+            reply = await handler(envelope.sender, envelope.request)
+        except Exception as error:  # noqa: BLE001
+            return self._refuse('internal', repr(error))
+        if not isinstance(reply, WorkDone):
+            self._count(envelope, reply, len(encode(reply)), 'sent')
+        return reply
+
+    def _refuse(self, cause: str, problem: str) -> Refusal:
+        self._metrics.peer_errors.labels(cause).inc()
+        self._log.emit(Event.PEER_MESSAGE_REFUSED, problem=problem)
+        return Refusal(problem)
+
+    def _count(
+        self,
+        envelope: Envelope,
+        message: Request | Reply,
+        size_bytes: int,
+        direction: str,
+    ) -> None:
+        if isinstance(message, Work):
+            return
+        scope = self.scope_of_host(envelope.sender)
+        counter = self._metrics.control_bytes.labels(
+            scope, direction, type(message).__name__
+        )
+        counter.inc(size_bytes)
+
+    def scope_of_host(self, host: HostId) -> str:
+        """Return the scope of the link to a host; set by the daemon."""
+        return 'unknown'
--- /dev/null
+++ b/src/ragwortstand/peers/members.py
@@ -0,0 +1,230 @@
+"""ragwortstand.peers.members: the list of members and its rules."""
+
+from collections import Counter
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from msgspec.structs import replace
+
+from ragwortstand.ids import HostId, RegionName, ServiceName, ZoneName
+from ragwortstand.peers.messages import Member, MemberState
+from ragwortstand.rendezvous import ranked
+from ragwortstand.settings import MembershipSettings
+
+_MAX_NEWS = 12
+_MIN_SHARES = 3
+_MASS_LOSS_SHARE = 0.5
+_MASS_LOSS_MIN = 4
+_USABLE = frozenset((MemberState.ALIVE, MemberState.SUSPECT))
+
+
+@dataclass(slots=True)
+class _Entry:
+    member: Member
+    changed_at_s: float
+
+
+class Members:
+    """All known members, this daemon among them.
+
+    A higher incarnation wins; of one incarnation the higher state wins. When
+    half of the members are suspected at once, this daemon is taken to be cut
+    off: the suspects are kept, and the outcomes of calls decide.
+
+    :param own: this daemon.
+    :param settings: times of suspicion and memory.
+    :param now_s: present time.
+    """
+
+    def __init__(
+        self,
+        own: Member,
+        settings: MembershipSettings,
+        now_s: float,
+    ) -> None:
+        """Start with this daemon alone."""
+        self._settings = settings
+        self._entries = {own.host: _Entry(own, now_s)}
+        self._own_host = own.host
+        self._news: dict[HostId, int] = {own.host: 0}
+        self._candidates: dict[ServiceName, tuple[Member, ...]] | None = None
+        self.on_change: Callable[[Member], None] = _ignore
+
+    @property
+    def own(self) -> Member:
+        """Return this daemon's own entry."""
+        return self._entries[self._own_host].member
+
+    def __len__(self) -> int:
+        """Return how many members are known, in any state."""
+        return len(self._entries)
+
+    def get(self, host: HostId) -> Member | None:
+        """Return a member by host."""
+        entry = self._entries.get(host)
+        return entry.member if entry else None
+
+    def all(self) -> tuple[Member, ...]:
+        """Return all known members in any state."""
+        return tuple(entry.member for entry in self._entries.values())
+
+    def usable(self) -> list[Member]:
+        """Return members that are alive or merely suspected."""
+        return [member for member in self.all() if member.state in _USABLE]
+
+    def peers(self) -> list[Member]:
+        """Return the usable members without this daemon."""
+        return [
+            member for member in self.usable() if member.host != self._own_host
+        ]
+
+    def departed(self) -> list[Member]:
+        """Return members that died or left a short while ago."""
+        return [member for member in self.all() if member.state not in _USABLE]
+
+    def offering(self, service: ServiceName) -> tuple[Member, ...]:
+        """Return the members whose backend server offers a service."""
+        if self._candidates is None:
+            self._candidates = self._by_service()
+        return self._candidates.get(service, ())
+
+    def states(self) -> Counter[MemberState]:
+        """Return the number of members in each state."""
+        return Counter(member.state for member in self.all())
+
+    def update_own(self, **changes: object) -> None:
+        """Change this daemon's own entry and spread it."""
+        incarnation = self.own.incarnation + 1
+        self._store(replace(self.own, incarnation=incarnation, **changes))
+
+    def merge(self, news: Iterable[Member], now_s: float) -> None:
+        """Take in what another daemon knows.
+
+        :param news: entries of members.
+        :param now_s: present time.
+        """
+        for member in news:
+            if member.host == self._own_host:
+                self._refute(member)
+            elif self._is_news(member):
+                self._store(member, now_s)
+
+    def suspect(self, host: HostId, now_s: float) -> None:
+        """Suspect a member that did not answer."""
+        member = self.get(host)
+        if member and member.state is MemberState.ALIVE:
+            self._store(replace(member, state=MemberState.SUSPECT), now_s)
+
+    def vouch(self, host: HostId, now_s: float) -> None:
+        """Drop a suspicion of our own, as the member has just answered."""
+        member = self.get(host)
+        if member and member.state is MemberState.SUSPECT:
+            self._store(replace(member, state=MemberState.ALIVE), now_s)
+
+    def expire(self, now_s: float) -> None:
+        """Turn old suspects into dead members, and forget departed ones.
+
+        :param now_s: present time.
+        """
+        is_cut_off = self._is_cut_off()
+        for entry in tuple(self._entries.values()):
+            age_s = now_s - entry.changed_at_s
+            state = entry.member.state
+            if state is MemberState.SUSPECT and not is_cut_off:
+                if age_s >= self._settings.suspicion_s:
+                    dead = replace(entry.member, state=MemberState.DEAD)
+                    self._store(dead, now_s)
+            elif state not in _USABLE and age_s > self._settings.departed_s:
+                self._forget(entry.member.host)
+
+    def postpone(self, now_s: float) -> None:
+        """Restart all suspicions, after this daemon itself was paused."""
+        for entry in self._entries.values():
+            if entry.member.state is MemberState.SUSPECT:
+                entry.changed_at_s = now_s
+
+    def take_news(self) -> tuple[Member, ...]:
+        """Return changes to tell next, the least told first."""
+        repeats = _MIN_SHARES + 2 * len(self._entries).bit_length()
+        chosen = sorted(self._news, key=self._news.__getitem__)[:_MAX_NEWS]
+        for host in chosen:
+            self._news[host] += 1
+            if self._news[host] >= repeats:
+                self._news.pop(host)
+        return tuple(self._entries[host].member for host in chosen)
+
+    def leaders(
+        self,
+        role: str,
+        count: int,
+        *,
+        zone: ZoneName | None = None,
+        region: RegionName | None = None,
+    ) -> list[Member]:
+        """Return the members that hold a role, by rendezvous hashing.
+
+        :param role: name of the role.
+        :param count: how many hold it.
+        :param zone: only members of this availability zone.
+        :param region: only members of this region.
+        """
+        hosts = [
+            member.host
+            for member in self.usable()
+            if zone in {None, member.zone} and region in {None, member.region}
+        ]
+        key = f'{role}/{region}/{zone}'
+        chosen = ranked(key, hosts)[:count]
+        return [self._entries[host].member for host in chosen]
+
+    def _by_service(self) -> dict[ServiceName, tuple[Member, ...]]:
+        found: dict[ServiceName, list[Member]] = {}
+        for member in self.usable():
+            if member.service and member.is_ready:
+                found.setdefault(member.service, []).append(member)
+        return {name: tuple(members) for name, members in found.items()}
+
+    def _is_news(self, member: Member) -> bool:
+        known = self.get(member.host)
+        if known is None:
+            return True
+        return (member.incarnation, member.state) > (
+            known.incarnation,
+            known.state,
+        )
+
+    def _is_cut_off(self) -> bool:
+        states = self.states()
+        suspects = states[MemberState.SUSPECT]
+        usable = suspects + states[MemberState.ALIVE]
+        if suspects < _MASS_LOSS_MIN:
+            return False
+        return suspects > usable * _MASS_LOSS_SHARE
+
+    def _refute(self, rumour: Member) -> None:
+        own = self.own
+        is_newer = rumour.incarnation > own.incarnation
+        is_wrong = rumour.state > own.state
+        if is_newer or (rumour.incarnation == own.incarnation and is_wrong):
+            raised = rumour.incarnation + 1
+            self._store(replace(own, incarnation=raised))
+
+    def _store(self, member: Member, now_s: float | None = None) -> None:
+        entry = self._entries.get(member.host)
+        if entry is None:
+            self._entries[member.host] = _Entry(member, now_s or 0.0)
+        else:
+            entry.member = member
+            entry.changed_at_s = now_s or entry.changed_at_s
+        self._news[member.host] = 0
+        self._candidates = None
+        self.on_change(member)
+
+    def _forget(self, host: HostId) -> None:
+        self._entries.pop(host)
+        self._news.pop(host, None)
+        self._candidates = None
+
+
+def _ignore(member: Member) -> None:
+    """Do nothing when a member changes."""
--- /dev/null
+++ b/src/ragwortstand/peers/messages.py
@@ -0,0 +1,340 @@
+"""ragwortstand.peers.messages: what daemons say to each other.
+
+Each message is a request with one reply, encoded with MessagePack. Bounds on
+sizes are set on the sockets.
+"""
+
+import enum
+from typing import TypeAlias
+
+import msgspec
+
+from ragwortstand.ids import (
+    Digest,
+    Fingerprint,
+    HostId,
+    PeerAddress,
+    RegionName,
+    RequestId,
+    ServiceName,
+    Version,
+    ZoneName,
+)
+from ragwortstand.verdicts import (
+    Answered,
+    Cause,
+    Headers,
+    Outcome,
+    Refused,
+    Unknown,
+)
+
+
+class _Message(msgspec.Struct, frozen=True, array_like=True, tag=True):
+    """Base of all messages; fields travel by position."""
+
+
+class MemberState(enum.IntEnum):
+    """State of a member; of one incarnation, the higher state wins."""
+
+    ALIVE = 0
+    SUSPECT = 1
+    DEAD = 2
+    LEFT = 3
+
+
+class Member(msgspec.Struct, frozen=True, array_like=True):
+    """What a daemon knows of a daemon.
+
+    :param host: unique host name.
+    :param peer_address: where it listens for daemons.
+    :param region: its region.
+    :param zone: its availability zone.
+    :param incarnation: raised by the member itself to refute or to change.
+    :param state: last known state.
+    :param service: service of the backend server beside it, if any.
+    :param slots: slots of that backend server.
+    :param is_ready: whether that backend server takes work.
+    """
+
+    host: HostId
+    peer_address: PeerAddress
+    region: RegionName
+    zone: ZoneName
+    incarnation: int
+    state: MemberState = MemberState.ALIVE
+    service: ServiceName | None = None
+    slots: int = 0
+    is_ready: bool = False
+
+
+class Ping(_Message, frozen=True):
+    """Probe that carries news of members and the sender's version.
+
+    :param version: version that the sender holds.
+    :param news: recent changes of members.
+    """
+
+    version: Version
+    news: tuple[Member, ...] = ()
+
+
+class Pong(_Message, frozen=True):
+    """Reply to a probe; fields as in `Ping`."""
+
+    version: Version
+    news: tuple[Member, ...] = ()
+
+
+class IndirectPing(_Message, frozen=True):
+    """Request to probe a third daemon.
+
+    :param host: the daemon to probe.
+    """
+
+    host: HostId
+
+
+class IndirectPong(_Message, frozen=True):
+    """Reply to an indirect probe.
+
+    :param is_alive: whether the third daemon answered.
+    """
+
+    is_alive: bool
+
+
+class Join(_Message, frozen=True):
+    """A newcomer asks for the list of members.
+
+    :param member: the newcomer.
+    """
+
+    member: Member
+
+
+class MemberList(_Message, frozen=True):
+    """All members that the sender knows.
+
+    :param members: members in any state.
+    :param version: version that the sender holds.
+    """
+
+    members: tuple[Member, ...]
+    version: Version
+
+
+class OfferVersion(_Message, frozen=True):
+    """Word of a version that the sender holds."""
+
+    version: Version
+
+
+class Done(_Message, frozen=True):
+    """Reply without content."""
+
+
+class FetchVersion(_Message, frozen=True):
+    """Request for the content of a version.
+
+    :param version: the version wanted, or a newer one.
+    :param held: version that the sender holds, a possible base of a delta.
+    """
+
+    version: Version
+    held: Version
+
+
+class VersionContent(_Message, frozen=True):
+    """Content of a version.
+
+    :param version: the version.
+    :param digest: digest of the whole content.
+    :param base: version whose content is the dictionary; 0 for none.
+    :param payload: zstd frame.
+    """
+
+    version: Version
+    digest: Digest
+    base: Version
+    payload: bytes
+
+
+class NotHeld(_Message, frozen=True):
+    """The version that was asked for is not held here."""
+
+
+class AskApplied(_Message, frozen=True):
+    """Question for the version in force."""
+
+
+class Applied(_Message, frozen=True):
+    """Reply to `AskApplied`.
+
+    :param version: version in force; 0 means none.
+    """
+
+    version: Version
+
+
+class Work(_Message, frozen=True):
+    """A caller's request, forwarded to the daemon that shall run it.
+
+    :param request_id: id of the request.
+    :param remaining_s: time until its deadline.
+    :param key: the caller's idempotency key, or empty.
+    """
+
+    request_id: RequestId
+    method: str
+    target: str
+    headers: Headers
+    body: bytes
+    service: str
+    rank: str
+    is_idempotent: bool
+    remaining_s: float
+    version: Version
+    attempt: int
+    key: str = ''
+
+
+class WorkDone(_Message, frozen=True):
+    """The outcome of forwarded work and the load of its backend server.
+
+    :param status: HTTP status; 0 where there is no answer.
+    :param cause: why there is no answer, or empty.
+    :param may_have_run: whether the request may have run without an answer.
+    :param retry_after_s: when to come back after a refusal.
+    :param busy: slots in use and requests queued, per slot.
+    """
+
+    status: int
+    headers: Headers
+    body: bytes
+    cause: str
+    may_have_run: bool
+    retry_after_s: float
+    busy: float
+
+
+class CancelWork(_Message, frozen=True):
+    """The caller has gone; the work may be cancelled.
+
+    :param request_id: id of the request.
+    """
+
+    request_id: RequestId
+
+
+class CrashSuspects(_Message, frozen=True):
+    """A backend server crashed while these requests were in flight."""
+
+    fingerprints: tuple[Fingerprint, ...]
+
+
+class Refusal(_Message, frozen=True):
+    """The message was not processed.
+
+    :param problem: why.
+    """
+
+    problem: str
+
+
+Request: TypeAlias = (
+    Ping
+    | IndirectPing
+    | Join
+    | OfferVersion
+    | FetchVersion
+    | AskApplied
+    | Work
+    | CancelWork
+    | CrashSuspects
+)
+Reply: TypeAlias = (
+    Pong
+    | IndirectPong
+    | MemberList
+    | Done
+    | VersionContent
+    | NotHeld
+    | Applied
+    | WorkDone
+    | Refusal
+)
+
+
+class Envelope(msgspec.Struct, frozen=True, array_like=True):
+    """A request with its sender.
+
+    :param cluster: name of the sender's cluster.
+    :param sender: the sender's host.
+    :param request: the request.
+    """
+
+    cluster: str
+    sender: HostId
+    request: Request
+
+
+_encoder = msgspec.msgpack.Encoder()
+_envelope_decoder = msgspec.msgpack.Decoder(Envelope)
+_reply_decoder = msgspec.msgpack.Decoder(Reply)
+
+
+def encode(message: Envelope | Reply) -> bytes:
+    """Return the bytes of an envelope or a reply."""
+    return _encoder.encode(message)
+
+
+def decode_envelope(wire: bytes) -> Envelope:
+    """Return the envelope in some bytes.
+
+    :raises msgspec.DecodeError: when the bytes are not an envelope.
+    """
+    return _envelope_decoder.decode(wire)
+
+
+def decode_reply(wire: bytes) -> Reply:
+    """Return the reply in some bytes.
+
+    :raises msgspec.DecodeError: when the bytes are not a reply.
+    """
+    return _reply_decoder.decode(wire)
+
+
+def work_done(outcome: Outcome, busy: float) -> WorkDone:
+    """Return the message for an outcome.
+
+    :param outcome: outcome of the work.
+    :param busy: slots in use and requests queued, per slot.
+    """
+    match outcome:
+        case Answered():
+            return WorkDone(
+                outcome.status,
+                outcome.headers,
+                outcome.body,
+                cause='',
+                may_have_run=True,
+                retry_after_s=0,
+                busy=busy,
+            )
+        case Refused():
+            retry_after_s = outcome.retry_after_s
+            cause = outcome.cause.value
+            return WorkDone(0, (), b'', cause, False, retry_after_s, busy)
+        case Unknown():
+            return WorkDone(0, (), b'', outcome.cause.value, True, 0, busy)
+
+
+def outcome_of(message: WorkDone) -> Outcome:
+    """Return the outcome that a message carries."""
+    if message.status:
+        return Answered(message.status, message.headers, message.body)
+    cause = Cause(message.cause)
+    if message.may_have_run:
+        return Unknown(cause)
+    return Refused(cause, message.retry_after_s)
--- /dev/null
+++ b/src/ragwortstand/peers/retries.py
@@ -0,0 +1,85 @@
+"""ragwortstand.peers.retries: when a failed request is tried elsewhere."""
+
+from dataclasses import dataclass
+from typing import Protocol
+
+from ragwortstand.calls import Call
+from ragwortstand.verdicts import Answered, Cause, Outcome, Refused
+
+MAX_ATTEMPTS = 3
+_BURST = 10.0
+_FINAL = frozenset(
+    (
+        Cause.ALREADY_CLAIMED,
+        Cause.CLAIM_UNAVAILABLE,
+        Cause.DEADLINE,
+        Cause.QUARANTINED,
+    ),
+)
+
+
+class RetryPolicy(Protocol):
+    """Decides whether a request gets another attempt."""
+
+    def allows(self, call: Call, outcome: Outcome, now_s: float) -> bool:
+        """Return whether to try again after an outcome."""
+
+
+@dataclass(slots=True)
+class _Budget:
+    tokens: float = _BURST
+
+
+class BudgetedRetries:
+    """Retries as a share of successes, by service and rank.
+
+    Each answer earns the service's `retry_share` of a retry, up to ten in
+    store. Only what did not run is retried, or what is idempotent.
+    """
+
+    def __init__(self) -> None:
+        """Start with full budgets."""
+        self._budgets: dict[tuple[str, str], _Budget] = {}
+
+    def allows(self, call: Call, outcome: Outcome, now_s: float) -> bool:
+        """Return whether to try again after an outcome.
+
+        :param call: the request.
+        :param outcome: outcome of its last attempt.
+        :param now_s: present time.
+        """
+        budget = self._budget(call)
+        if isinstance(outcome, Answered):
+            earned = budget.tokens + call.service.retry_share
+            budget.tokens = min(_BURST, earned)
+            return False
+        if not _may_repeat(call, outcome, now_s) or budget.tokens < 1:
+            return False
+        budget.tokens -= 1
+        return True
+
+    def _budget(self, call: Call) -> _Budget:
+        key = (call.service.name, call.rank.name)
+        return self._budgets.setdefault(key, _Budget())
+
+
+class NaiveRetries:
+    """Retries whatever may be repeated, without a budget; the baseline."""
+
+    def allows(self, call: Call, outcome: Outcome, now_s: float) -> bool:
+        """Return whether to try again after an outcome."""
+        if isinstance(outcome, Answered):
+            return False
+        return _may_repeat(call, outcome, now_s)
+
+
+def _may_repeat(
+    call: Call,
+    outcome: Outcome,
+    now_s: float,
+) -> bool:
+    if isinstance(outcome, Answered) or outcome.cause in _FINAL:
+        return False
+    if call.attempt >= MAX_ATTEMPTS or not call.remaining_s(now_s):
+        return False
+    return isinstance(outcome, Refused) or call.is_idempotent
--- /dev/null
+++ b/src/ragwortstand/platform/__init__.py
@@ -0,0 +1,28 @@
+"""ragwortstand.platform: the platform's table service and object store."""
+
+from ragwortstand.platform.acceptance import (
+    Acceptance,
+    Accepted,
+    Conflict,
+    Faulty,
+    Submission,
+    SubmissionOutcome,
+    Unavailable,
+    VersionRecord,
+)
+from ragwortstand.platform.client import PlatformClient
+from ragwortstand.platform.entry_points import EntryPoint, EntryPoints
+
+__all__ = (
+    'Acceptance',
+    'Accepted',
+    'Conflict',
+    'EntryPoint',
+    'EntryPoints',
+    'Faulty',
+    'PlatformClient',
+    'Submission',
+    'SubmissionOutcome',
+    'Unavailable',
+    'VersionRecord',
+)
--- /dev/null
+++ b/src/ragwortstand/platform/acceptance.py
@@ -0,0 +1,231 @@
+"""ragwortstand.platform.acceptance: commit new configuration versions.
+
+A submission is accepted by one conditional transaction that moves the head
+row from its base version to the next one. The submission id makes a repeated
+transaction harmless, so a lost answer is settled by repeating it.
+"""
+
+from dataclasses import dataclass
+from typing import TypeAlias
+
+import msgspec
+
+from ragwortstand import api
+from ragwortstand.exceptions import (
+    ConfigurationError,
+    Fault,
+    PlatformError,
+)
+from ragwortstand.ids import NO_VERSION, Digest, SubmissionId, Version
+from ragwortstand.models import digest_of
+from ragwortstand.platform.table import (
+    Condition,
+    ObjectStore,
+    Row,
+    TableService,
+    Transaction,
+    Write,
+)
+from ragwortstand.verdicts import Verdict
+
+HEAD_KEY = 'configuration/head'
+_VERSION_PREFIX = 'configuration/version/'
+_SUBMISSION_PREFIX = 'configuration/submission/'
+_ATTEMPTS = 4
+
+
+class VersionRecord(msgspec.Struct, frozen=True):
+    """What the table holds of an accepted version.
+
+    :param version: the accepted version.
+    :param digest: digest of its content, the key in the object store.
+    :param submission: id of the submission.
+    :param author: who submitted it.
+    :param accepted_unix_s: time of acceptance, seconds since 1970.
+    """
+
+    version: Version
+    digest: Digest
+    submission: SubmissionId
+    author: str
+    accepted_unix_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Submission:
+    """A configuration that an operator hands in.
+
+    :param content: JSON text.
+    :param submission: id chosen by the operator's client.
+    :param base: version on which the operator built; None takes the newest.
+    :param author: who submits.
+    """
+
+    content: bytes
+    submission: SubmissionId
+    base: Version | None
+    author: str
+
+
+@dataclass(frozen=True, slots=True)
+class Accepted:
+    """The submission is committed as a version."""
+
+    record: VersionRecord
+
+
+@dataclass(frozen=True, slots=True)
+class Faulty:
+    """The configuration has faults; nothing was written to the table."""
+
+    faults: tuple[Fault, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Conflict:
+    """Another submission moved the head first; `winner` is that version."""
+
+    winner: VersionRecord | None
+
+
+@dataclass(frozen=True, slots=True)
+class Unavailable:
+    """The platform is out of reach; `verdict` tells if it may be accepted."""
+
+    problem: str
+    verdict: Verdict
+
+
+SubmissionOutcome: TypeAlias = Accepted | Faulty | Conflict | Unavailable
+
+
+class Acceptance:
+    """Commits submissions and reads accepted versions.
+
+    :param table: the platform's table service.
+    :param objects: the platform's object store.
+    """
+
+    def __init__(self, table: TableService, objects: ObjectStore) -> None:
+        """Keep the two services."""
+        self._table = table
+        self._objects = objects
+
+    async def submit(
+        self,
+        submission: Submission,
+        now_unix_s: float,
+    ) -> SubmissionOutcome:
+        """Check a configuration and commit it.
+
+        :param submission: what the operator handed in.
+        :param now_unix_s: present time, seconds since 1970.
+        """
+        try:
+            content = api.parse(submission.content).to_json().encode()
+        except ConfigurationError as error:
+            return Faulty(error.faults)
+        digest = digest_of(content)
+        verdict = Verdict.NOT_RUN
+        for attempt in range(_ATTEMPTS):
+            try:
+                if attempt == 0:
+                    await self._objects.put_object(object_key(digest), content)
+                return await self._commit(submission, digest, now_unix_s)
+            except PlatformError as error:
+                problem = str(error)
+                if error.verdict is Verdict.MAY_HAVE_RUN:
+                    verdict = error.verdict
+        return Unavailable(problem, verdict)
+
+    async def head(self) -> VersionRecord | None:
+        """Return the newest accepted version."""
+        row = await self._table.get(HEAD_KEY)
+        return _record(row) if row else None
+
+    async def version(self, version: Version) -> VersionRecord | None:
+        """Return the record of one version."""
+        row = await self._table.get(_version_key(version))
+        return _record(row) if row else None
+
+    async def history(self, limit: int) -> tuple[VersionRecord, ...]:
+        """Return the records of the newest versions, newest first."""
+        newest = await self._table.get(HEAD_KEY)
+        if newest is None:
+            return ()
+        last = _record(newest).version
+        records = []
+        for version in range(last, max(NO_VERSION, last - limit), -1):
+            row = await self._table.get(_version_key(Version(version)))
+            if row:
+                records.append(_record(row))
+        return tuple(records)
+
+    async def content(self, digest: Digest) -> bytes | None:
+        """Return the content of an accepted version."""
+        return await self._objects.get_object(object_key(digest))
+
+    async def _commit(
+        self,
+        submission: Submission,
+        digest: Digest,
+        now_unix_s: float,
+    ) -> SubmissionOutcome:
+        known = await self._submitted(submission.submission)
+        if known:
+            return Accepted(known)
+        head = await self._table.get(HEAD_KEY)
+        newest = _record(head).version if head else NO_VERSION
+        if head and _record(head).submission == submission.submission:
+            return Accepted(_record(head))
+        base = newest if submission.base is None else submission.base
+        if base != newest:
+            return Conflict(_record(head) if head else None)
+        record = VersionRecord(
+            Version(base + 1),
+            digest,
+            submission.submission,
+            submission.author,
+            now_unix_s,
+        )
+        outcome = await self._table.transact(_transaction(record, head))
+        if outcome.committed:
+            return Accepted(record)
+        known = await self._submitted(submission.submission)
+        return Accepted(known) if known else Conflict(await self.head())
+
+    async def _submitted(
+        self,
+        submission: SubmissionId,
+    ) -> VersionRecord | None:
+        row = await self._table.get(_SUBMISSION_PREFIX + submission)
+        return _record(row) if row else None
+
+
+def object_key(digest: Digest) -> str:
+    """Return the key of a configuration in the object store."""
+    return f'configurations/{digest}'
+
+
+def _version_key(version: Version) -> str:
+    return f'{_VERSION_PREFIX}{version:012d}'
+
+
+def _record(row: Row) -> VersionRecord:
+    return msgspec.json.decode(row.content, type=VersionRecord)
+
+
+def _transaction(record: VersionRecord, head: Row | None) -> Transaction:
+    text = msgspec.json.encode(record).decode()
+    submission_key = _SUBMISSION_PREFIX + record.submission
+    return Transaction(
+        conditions=(
+            Condition(HEAD_KEY, head.revision if head else 0),
+            Condition(submission_key),
+        ),
+        writes=(
+            Write(HEAD_KEY, text),
+            Write(_version_key(record.version), text),
+            Write(submission_key, text),
+        ),
+    )
--- /dev/null
+++ b/src/ragwortstand/platform/client.py
@@ -0,0 +1,140 @@
+"""ragwortstand.platform.client: HTTP client of the platform."""
+
+from typing import TypeVar
+from urllib.parse import quote
+
+import httpcore
+import msgspec
+
+from ragwortstand.events import Event, EventLog
+from ragwortstand.exceptions import PlatformError
+from ragwortstand.metrics import Metrics
+from ragwortstand.platform.table import (
+    Row,
+    Transaction,
+    TransactionResult,
+)
+from ragwortstand.settings import PlatformSettings
+from ragwortstand.verdicts import Verdict
+
+_Document = TypeVar('_Document')
+_MAX_CONNECTIONS = 4
+_NO_CONNECTION = (httpcore.ConnectError, httpcore.ConnectTimeout)
+
+
+class PlatformClient:
+    """Table service and object store over HTTP.
+
+    A call that times out closes its connection, so the next call opens a
+    fresh one.
+
+    :param settings: where the platform is.
+    :param metrics: counts the calls.
+    :param log: tells when the platform goes out of reach and is back.
+    """
+
+    def __init__(
+        self,
+        settings: PlatformSettings,
+        metrics: Metrics,
+        log: EventLog,
+    ) -> None:
+        """Prepare the pool; connections are opened on first use."""
+        self._url = settings.url.rstrip('/')
+        self._metrics = metrics
+        self._log = log
+        self._timeouts = {
+            name: settings.timeout_s
+            for name in ('connect', 'read', 'write', 'pool')
+        }
+        self._pool = httpcore.AsyncConnectionPool(
+            max_connections=_MAX_CONNECTIONS,
+            keepalive_expiry=settings.timeout_s * 2,
+        )
+        self.is_reachable = True
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._pool.aclose()
+
+    async def get(self, key: str) -> Row | None:
+        """Return a row, or None where there is none."""
+        answer = await self._call('read', 'GET', f'/table/row/{quote(key)}')
+        if answer.status == 404:
+            return None
+        return _decode(answer, Row)
+
+    async def scan(self, prefix: str, limit: int = 1000) -> tuple[Row, ...]:
+        """Return the rows whose key starts with a prefix, by key."""
+        path = f'/table/scan?prefix={quote(prefix, safe="")}&limit={limit}'
+        answer = await self._call('read', 'GET', path)
+        return _decode(answer, tuple[Row, ...])
+
+    async def transact(self, transaction: Transaction) -> TransactionResult:
+        """Run a transaction."""
+        body = msgspec.json.encode(transaction)
+        answer = await self._call('write', 'POST', '/table/transact', body)
+        return _decode(answer, TransactionResult)
+
+    async def get_object(self, key: str) -> bytes | None:
+        """Return an object, or None where there is none."""
+        answer = await self._call('read', 'GET', f'/objects/{quote(key)}')
+        return None if answer.status == 404 else answer.content
+
+    async def put_object(self, key: str, content: bytes) -> None:
+        """Write an object."""
+        await self._call('write', 'PUT', f'/objects/{quote(key)}', content)
+
+    async def _call(
+        self,
+        kind: str,
+        method: str,
+        path: str,
+        body: bytes = b'',
+    ) -> httpcore.Response:
+        try:
+            answer = await self._pool.request(
+                method,
+                self._url + path,
+                content=body,
+                extensions={'timeout': self._timeouts},
+            )
+        except _NO_CONNECTION as error:
+            raise self._failure(kind, repr(error), Verdict.NOT_RUN) from error
+        except (
+            httpcore.NetworkError,
+            httpcore.ProtocolError,
+            httpcore.TimeoutException,
+        ) as error:
+            verdict = Verdict.MAY_HAVE_RUN
+            raise self._failure(kind, repr(error), verdict) from error
+        if answer.status not in {200, 404}:
+            problem = f'{method} {path} answered {answer.status}'
+            raise self._failure(kind, problem, Verdict.NOT_RUN)
+        self._succeeded(kind)
+        return answer
+
+    def _failure(
+        self,
+        kind: str,
+        problem: str,
+        verdict: Verdict,
+    ) -> PlatformError:
+        self._metrics.platform_calls.labels(kind, 'failed').inc()
+        if self.is_reachable:
+            self._log.emit(Event.PLATFORM_OUTAGE, problem=problem)
+        self.is_reachable = False
+        return PlatformError(problem, verdict)
+
+    def _succeeded(self, kind: str) -> None:
+        self._metrics.platform_calls.labels(kind, 'ok').inc()
+        if not self.is_reachable:
+            self._log.emit(Event.PLATFORM_BACK)
+        self.is_reachable = True
+
+
+def _decode(answer: httpcore.Response, form: type[_Document]) -> _Document:
+    try:
+        return msgspec.json.decode(answer.content, type=form)
+    except msgspec.DecodeError as error:
+        raise PlatformError(str(error), Verdict.MAY_HAVE_RUN) from error
--- /dev/null
+++ b/src/ragwortstand/platform/entry_points.py
@@ -0,0 +1,63 @@
+"""ragwortstand.platform.entry_points: rows through which newcomers join."""
+
+import msgspec
+
+from ragwortstand.ids import HostId, PeerAddress, ZoneName
+from ragwortstand.platform.table import Row, TableService, Transaction, Write
+
+_PREFIX = 'entry/'
+_MAX_ROWS = 64
+
+
+class EntryPoint(msgspec.Struct, frozen=True):
+    """A daemon that newcomers may ask for the list of members.
+
+    :param cluster: name of the cluster.
+    :param host: the daemon's host.
+    :param peer_address: where it listens for daemons.
+    :param written_unix_s: time of the write, seconds since 1970.
+    """
+
+    cluster: str
+    host: HostId
+    peer_address: PeerAddress
+    written_unix_s: float
+
+
+class EntryPoints:
+    """The few rows of the table that name entry points.
+
+    :param table: the platform's table service.
+    :param cluster: name of the cluster.
+    """
+
+    def __init__(self, table: TableService, cluster: str) -> None:
+        """Keep the table and the cluster's name."""
+        self._table = table
+        self.cluster = cluster
+
+    async def read(self) -> tuple[EntryPoint, ...]:
+        """Return the entry points of this cluster."""
+        prefix = f'{_PREFIX}{self.cluster}/'
+        rows = await self._table.scan(prefix, _MAX_ROWS)
+        return tuple(_entry_point(row) for row in rows)
+
+    async def write(
+        self,
+        zone: ZoneName,
+        position: int,
+        entry_point: EntryPoint,
+    ) -> None:
+        """Write one entry point of an availability zone.
+
+        :param zone: the availability zone.
+        :param position: place among the zone's entry points.
+        :param entry_point: the new content of the row.
+        """
+        key = f'{_PREFIX}{self.cluster}/{zone}/{position}'
+        text = msgspec.json.encode(entry_point).decode()
+        await self._table.transact(Transaction((), (Write(key, text),)))
+
+
+def _entry_point(row: Row) -> EntryPoint:
+    return msgspec.json.decode(row.content, type=EntryPoint)
--- /dev/null
+++ b/src/ragwortstand/rendezvous.py
@@ -0,0 +1,24 @@
+"""ragwortstand.rendezvous: highest random weight hashing over hosts."""
+
+from collections.abc import Iterable
+
+import xxhash
+
+from ragwortstand.ids import HostId
+
+
+def weight(key: str, host: HostId) -> int:
+    """Return the weight of a host for a key, from 0 to 2**64 - 1."""
+    return xxhash.xxh3_64_intdigest(f'{key}\0{host}'.encode())
+
+
+def ranked(key: str, hosts: Iterable[HostId]) -> list[HostId]:
+    """Return the hosts in descending order of their weight for a key.
+
+    Each process that knows the same hosts computes the same order, and the
+    loss of a host moves only the keys that it led.
+
+    :param key: what is to be placed.
+    :param hosts: the candidates.
+    """
+    return sorted(hosts, key=lambda host: (weight(key, host), host))[::-1]
--- /dev/null
+++ b/src/ragwortstand/servers.py
@@ -0,0 +1,65 @@
+"""ragwortstand.servers: uvicorn inside a process that has other tasks."""
+
+import contextlib
+import socket
+from collections.abc import Iterator
+from typing import Any
+
+import uvicorn
+
+_KEEP_ALIVE_S = 30
+_BACKLOG = 512
+
+
+class HttpServer(uvicorn.Server):
+    """A uvicorn server that leaves signals to its process."""
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        """Leave the signal handlers as they are."""
+        yield
+
+
+def bind(address: str, port: int) -> socket.socket:
+    """Return a listening TCP socket.
+
+    :param address: IP number.
+    :param port: TCP port; 0 lets the operating system choose one.
+    """
+    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.bind((address, port))
+    return listener
+
+
+def port_of(listener: socket.socket) -> int:
+    """Return the port that a socket listens on."""
+    port: int = listener.getsockname()[1]
+    return port
+
+
+def http_server(
+    app: Any,
+    *,
+    keep_alive_s: int = _KEEP_ALIVE_S,
+) -> HttpServer:
+    """Return a server for an ASGI application.
+
+    :param app: the application.
+    :param keep_alive_s: how long an idle connection is kept.
+    """
+    config = uvicorn.Config(
+        app,
+        http='httptools',
+        loop='none',
+        lifespan='off',
+        log_config=None,
+        access_log=False,
+        server_header=False,
+        date_header=False,
+        proxy_headers=False,
+        ws='none',
+        backlog=_BACKLOG,
+        timeout_keep_alive=keep_alive_s,
+    )
+    return HttpServer(config)
--- /dev/null
+++ b/src/ragwortstand/settings.py
@@ -0,0 +1,164 @@
+"""ragwortstand.settings: the daemon's settings, checked in full at start."""
+
+import pathlib
+from typing import Annotated, Literal
+
+import pydantic
+from pydantic import Field
+
+from ragwortstand.exceptions import Fault, SettingsError
+from ragwortstand.validation import StrictModel, faults_of
+
+_Name = Annotated[str, Field(pattern='^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$')]
+_Port = Annotated[int, Field(ge=0, le=65535)]
+_Interval = Annotated[float, Field(gt=0, le=60)]
+_MEBIBYTE = 1024 * 1024
+
+
+class Listen(StrictModel):
+    """An address to listen on.
+
+    :param address: IP number.
+    :param port: TCP port; 0 lets the operating system choose one.
+    """
+
+    address: str = '127.0.0.1'
+    port: _Port = 0
+
+
+class AdminSettings(Listen):
+    """The operators' side of the daemon.
+
+    :param token: bearer token that operators present.
+    """
+
+    token: Annotated[str, Field(min_length=16, max_length=256)]
+
+
+class PlatformSettings(StrictModel):
+    """The platform's table service and object store.
+
+    :param url: base URL of both.
+    :param region: region that holds the store.
+    :param timeout_s: time to wait for one answer.
+    :param poll_interval_s: time between two reads of the newest version by
+        the daemons that read it for their region.
+    """
+
+    url: Annotated[str, Field(pattern='^http://')]
+    region: _Name
+    timeout_s: _Interval = 2.0
+    poll_interval_s: _Interval = 1.0
+
+
+class LimitSettings(StrictModel):
+    """Bounds on what callers may ask for.
+
+    :param max_request_bytes: size of a request's body.
+    :param max_answer_bytes: size of an answer's body.
+    :param max_in_flight: requests that the daemon holds at once.
+    """
+
+    max_request_bytes: Annotated[int, Field(ge=0, le=64 * _MEBIBYTE)] = (
+        _MEBIBYTE
+    )
+    max_answer_bytes: Annotated[int, Field(ge=0, le=256 * _MEBIBYTE)] = (
+        8 * _MEBIBYTE
+    )
+    max_in_flight: Annotated[int, Field(ge=1, le=100_000)] = 1000
+
+
+class BackendServerSettings(StrictModel):
+    """How the daemon calls the backend server beside it.
+
+    :param client: HTTP client; ``httpcore`` is the baseline.
+    :param idle_reuse_s: age up to which an idle connection is used again.
+    :param strict_idle_reuse_s: the same for requests that are not idempotent.
+    :param announce_timeout_s: silence after which an announced backend
+        server counts as gone.
+    """
+
+    client: Literal['httptools', 'httpcore'] = 'httptools'
+    idle_reuse_s: _Interval = 10.0
+    strict_idle_reuse_s: _Interval = 2.0
+    announce_timeout_s: _Interval = 5.0
+
+
+class MembershipSettings(StrictModel):
+    """How daemons watch each other.
+
+    :param probe_interval_s: time between two probes by one daemon.
+    :param probe_timeout_s: time to wait for the answer to a probe.
+    :param suspicion_s: time that a suspect has to refute.
+    :param departed_s: how long a departed member is remembered.
+    """
+
+    probe_interval_s: _Interval = 1.0
+    probe_timeout_s: _Interval = 0.4
+    suspicion_s: _Interval = 2.0
+    departed_s: Annotated[float, Field(gt=0, le=86_400)] = 600.0
+
+
+class PolicySettings(StrictModel):
+    """Which policy decides; all but the defaults are baselines.
+
+    :param admission: order in which queued requests get slots.
+    :param choice: choice of the backend server.
+    :param retry: when a failed request is tried elsewhere.
+    """
+
+    admission: Literal['shares', 'fifo'] = 'shares'
+    choice: Literal['signals', 'random'] = 'signals'
+    retry: Literal['budget', 'naive'] = 'budget'
+
+
+class DaemonSettings(StrictModel):
+    """All settings of one daemon.
+
+    :param cluster: name that the daemons of one system share.
+    :param host: unique name of this host.
+    :param region: region of this host.
+    :param availability_zone: availability zone of this host.
+    :param entry_points: addresses of daemons to join through while the
+        platform's table service is out of reach.
+    """
+
+    cluster: _Name
+    host: _Name
+    region: _Name
+    availability_zone: _Name
+    admin: AdminSettings
+    platform: PlatformSettings
+    callers: Listen = Listen()
+    peers: Listen = Listen()
+    entry_points: tuple[str, ...] = ()
+    limits: LimitSettings = LimitSettings()
+    backend_server: BackendServerSettings = BackendServerSettings()
+    membership: MembershipSettings = MembershipSettings()
+    policies: PolicySettings = PolicySettings()
+
+
+def parse_settings(text: str | bytes) -> DaemonSettings:
+    """Read settings and check all of them.
+
+    :param text: JSON text.
+    :raises SettingsError: with every fault that was found.
+    """
+    try:
+        return DaemonSettings.model_validate_json(text)
+    except pydantic.ValidationError as error:
+        raise SettingsError(faults_of(error)) from error
+
+
+def load_settings(path: str) -> DaemonSettings:
+    """Read a settings file and check all of it.
+
+    :param path: path of a JSON file.
+    :raises SettingsError: when the file can't be read or has faults.
+    """
+    try:
+        text = pathlib.Path(path).read_bytes()
+    except OSError as error:
+        problem = f'cannot read {path}: {error.strerror}'
+        raise SettingsError([Fault('$', problem)]) from error
+    return parse_settings(text)
--- /dev/null
+++ b/src/ragwortstand/tools/__init__.py
@@ -0,0 +1,1 @@
+"""ragwortstand.tools: load, time line and stand-ins."""
--- /dev/null
+++ b/src/ragwortstand/tools/audit.py
@@ -0,0 +1,145 @@
+"""ragwortstand.tools.audit: callers' records against servers' journals."""
+
+import pathlib
+from collections import Counter
+from collections.abc import Iterable, Sequence
+
+import msgspec
+from hdrh.histogram import HdrHistogram
+
+from ragwortstand.tools.load import Record
+from ragwortstand.tools.standin_backend import Entry, JournalLine
+from ragwortstand.verdicts import Verdict
+
+_MAX_LATENCY_US = 600_000_000
+_SIGNIFICANT_DIGITS = 3
+
+
+class RankReport(msgspec.Struct, frozen=True):
+    """Service of one rank.
+
+    :param sent: requests that callers made.
+    :param served: requests that a backend server answered.
+    :param in_target: served within the target of their stream.
+    :param refused_not_run: requests whose final verdict is not-run.
+    :param may_have_run: requests whose final verdict is may-have-run.
+    :param p50_ms: median time of the served ones.
+    :param p99_ms: 99th percentile of the served ones.
+    """
+
+    sent: int
+    served: int
+    in_target: int
+    refused_not_run: int
+    may_have_run: int
+    p50_ms: float
+    p99_ms: float
+
+
+class Audit(msgspec.Struct, frozen=True):
+    """What callers and backend servers together tell of a run.
+
+    :param sent: requests that callers made.
+    :param answered: requests with any final answer.
+    :param refused_not_run: final verdict not-run.
+    :param may_have_run: final verdict may-have-run.
+    :param lost: requests without any answer, or answered without a run.
+    :param doubled: requests that must run once and ran more often.
+    :param mismatched: answers that do not belong to their request.
+    :param false_not_run: final verdict not-run although it ran.
+    :param by_rank: service by rank.
+    """
+
+    sent: int
+    answered: int
+    refused_not_run: int
+    may_have_run: int
+    lost: int
+    doubled: int
+    mismatched: int
+    false_not_run: int
+    by_rank: dict[str, RankReport]
+
+    @property
+    def is_clean(self) -> bool:
+        """Return whether no promise was broken."""
+        broken = self.lost + self.doubled + self.mismatched + self.false_not_run
+        return not broken
+
+
+def read_journals(paths: Iterable[pathlib.Path]) -> list[JournalLine]:
+    """Return the lines of several journals."""
+    decoder = msgspec.json.Decoder(JournalLine)
+    return [
+        decoder.decode(line)
+        for path in paths
+        for line in path.read_bytes().splitlines()
+    ]
+
+
+def audit(
+    records: Sequence[Record],
+    journal: Sequence[JournalLine],
+) -> Audit:
+    """Compare what callers saw with what backend servers ran.
+
+    :param records: the callers' records.
+    :param journal: lines of all backend servers' journals.
+    """
+    runs = Counter(
+        line.tag for line in journal if line.entry == Entry.STARTED.value
+    )
+    by_rank: dict[str, list[Record]] = {}
+    for record in records:
+        by_rank.setdefault(record.rank, []).append(record)
+    return Audit(
+        sent=len(records),
+        answered=sum(bool(record.status) for record in records),
+        refused_not_run=_count(records, Verdict.NOT_RUN),
+        may_have_run=_count(records, Verdict.MAY_HAVE_RUN),
+        lost=sum(_is_lost(record, runs) for record in records),
+        doubled=sum(_is_doubled(record, runs) for record in records),
+        mismatched=sum(_is_mismatched(record) for record in records),
+        false_not_run=sum(_is_false(record, runs) for record in records),
+        by_rank={rank: rank_report(part) for rank, part in by_rank.items()},
+    )
+
+
+def rank_report(records: Sequence[Record]) -> RankReport:
+    """Return the service that the requests of one rank got."""
+    served = [record for record in records if record.is_served]
+    histogram = HdrHistogram(1, _MAX_LATENCY_US, _SIGNIFICANT_DIGITS)
+    for record in served:
+        histogram.record_value(max(1, int(record.taken_s * 1_000_000)))
+    return RankReport(
+        sent=len(records),
+        served=len(served),
+        in_target=sum(one.taken_s <= one.target_s for one in served),
+        refused_not_run=_count(records, Verdict.NOT_RUN),
+        may_have_run=_count(records, Verdict.MAY_HAVE_RUN),
+        p50_ms=histogram.get_value_at_percentile(50) / 1000,
+        p99_ms=histogram.get_value_at_percentile(99) / 1000,
+    )
+
+
+def _count(records: Iterable[Record], verdict: Verdict) -> int:
+    return sum(record.verdict == verdict.value for record in records)
+
+
+def _is_lost(record: Record, runs: Counter[str]) -> bool:
+    if not record.status:
+        return True
+    return record.is_served and not runs[record.tag]
+
+
+def _is_doubled(record: Record, runs: Counter[str]) -> bool:
+    return not record.is_repeatable and runs[record.tag] > 1
+
+
+def _is_mismatched(record: Record) -> bool:
+    return record.is_served and not record.is_whole
+
+
+def _is_false(record: Record, runs: Counter[str]) -> bool:
+    is_refused = record.verdict == Verdict.NOT_RUN.value
+    return is_refused and record.sent == 1 and runs[record.tag] > 0
--- /dev/null
+++ b/src/ragwortstand/tools/demo.py
@@ -0,0 +1,289 @@
+"""ragwortstand.tools.demo: the main job on an example deployment.
+
+Starts the platform's stand-in, the backend servers and their daemons, puts
+version 1 in force, sends load over all ranks, puts version 2 in force
+meanwhile, stops one daemon gracefully and kills one backend server.
+"""
+
+import argparse
+import pathlib
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+from collections.abc import Sequence
+from uuid import uuid4
+
+import anyio
+import msgspec
+
+from ragwortstand import api
+from ragwortstand.commands import ExitCode, add_version, report
+from ragwortstand.exceptions import RagwortstandError
+from ragwortstand.ids import SubmissionId, Version
+from ragwortstand.models import Configuration, Rank
+from ragwortstand.tools.audit import Audit, RankReport, audit, read_journals
+from ragwortstand.tools.deployment import Deployment, load_deployment
+from ragwortstand.tools.fleet import Fleet, Node, wait_until
+from ragwortstand.tools.load import Callers, Plan
+
+_LOAD_S = 20.0
+_SETTLE_S = 2.0
+_STEP_S = 4.0
+_CONVERGENCE_LIMIT_S = 10.0
+_AUTHOR = 'demo'
+
+
+class Summary(msgspec.Struct, frozen=True):
+    """Last line of the demo.
+
+    :param version: version in force at the end.
+    :param in_force: whether every live daemon has it.
+    :param convergence_s: the longer of both times from acceptance to the
+        last daemon.
+    :param graceful_exit: exit code of the daemon that was stopped.
+    :param control_bytes: control bytes that daemons sent to daemons.
+    :param regional_control_bytes: those that crossed links between regions.
+    :param by_rank: service by rank.
+    """
+
+    version: int
+    in_force: bool
+    convergence_s: float
+    graceful_exit: int
+    sent: int
+    answered: int
+    refused_not_run: int
+    may_have_run: int
+    lost: int
+    doubled: int
+    mismatched: int
+    false_not_run: int
+    control_bytes: int
+    regional_control_bytes: int
+    by_rank: dict[str, RankReport]
+
+
+class Demo:
+    """Runs the main job once.
+
+    :param folder: the example's folder.
+    :param output: where logs and journals go.
+    :param seed: seed of the load.
+    """
+
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        output: pathlib.Path,
+        seed: int,
+    ) -> None:
+        """Read the deployment and its configuration."""
+        self._deployment: Deployment = load_deployment(folder)
+        self._mesh = api.parse(_printed(folder / 'mesh.py'))
+        self._seed = seed
+        self._fleet = Fleet(
+            self._deployment.hosts,
+            output,
+            self._deployment.cluster,
+            self._deployment.store_region,
+        )
+
+    def run(self) -> Summary:
+        """Return what callers, servers and operators saw."""
+        with self._fleet as fleet:
+            _say(f'starting {len(fleet.nodes)} hosts on loopback')
+            fleet.start()
+            fleet.await_members(len(fleet.nodes))
+            first_s = self._put_in_force(self._mesh)
+            _say(f'version 1 is in force everywhere after {first_s:.2f} s')
+            callers, loading = self._start_load()
+            time.sleep(_STEP_S)
+            second_s = self._put_in_force(_changed(self._mesh))
+            _say(f'version 2 is in force everywhere after {second_s:.2f} s')
+            exit_code = self._stop_one_daemon()
+            self._kill_one_server()
+            loading.join()
+            time.sleep(_SETTLE_S)
+            found = audit(callers.records, read_journals(fleet.journals()))
+            return self._summary(found, max(first_s, second_s), exit_code)
+
+    def _start_load(self) -> tuple[Callers, threading.Thread]:
+        urls = [node.url for node in self._callable_nodes()]
+        callers = Callers(urls, 'demo', self._seed)
+        plan = Plan(_LOAD_S, self._deployment.streams, self._seed)
+
+        def run() -> None:
+            anyio.run(callers.run, plan, backend_options={'use_uvloop': True})
+
+        thread = threading.Thread(target=run)
+        thread.start()
+        return callers, thread
+
+    def _callable_nodes(self) -> list[Node]:
+        """Return all nodes but the one whose daemon will be stopped."""
+        stopped = self._nodes()[-1]
+        return [node for node in self._nodes() if node is not stopped]
+
+    def _nodes(self) -> list[Node]:
+        return list(self._fleet.nodes.values())
+
+    def _put_in_force(self, mesh: Configuration) -> float:
+        content = mesh.to_json().encode()
+        with self._fleet.admin() as client:
+            newest = client.history(1).versions
+            base = newest[0].version if newest else Version(0)
+            submission = SubmissionId(uuid4().hex)
+            outcome = client.submit(content, submission, base, _AUTHOR)
+            if outcome.record is None:
+                raise RagwortstandError(f'submission was {outcome.outcome}')
+            version = outcome.record.version
+            return wait_until(
+                lambda: client.applied(version).is_complete,
+                _CONVERGENCE_LIMIT_S,
+                f'version {version} in force',
+            )
+
+    def _stop_one_daemon(self) -> int:
+        node = self._nodes()[-1]
+        assert node.daemon
+        exit_code = node.daemon.stop()
+        _say(f'daemon of {node.host.name} stopped with exit code {exit_code}')
+        return exit_code
+
+    def _kill_one_server(self) -> None:
+        node = self._nodes()[0]
+        assert node.server
+        node.server.kill()
+        _say(f'backend server of {node.host.name} killed')
+
+    def _summary(
+        self,
+        found: Audit,
+        convergence_s: float,
+        exit_code: int,
+    ) -> Summary:
+        fleet = self._fleet
+        with fleet.admin() as client:
+            version = client.status().version
+            in_force = client.applied(version).is_complete
+        return Summary(
+            version=version,
+            in_force=in_force,
+            convergence_s=round(convergence_s, 3),
+            graceful_exit=exit_code,
+            sent=found.sent,
+            answered=found.answered,
+            refused_not_run=found.refused_not_run,
+            may_have_run=found.may_have_run,
+            lost=found.lost,
+            doubled=found.doubled,
+            mismatched=found.mismatched,
+            false_not_run=found.false_not_run,
+            control_bytes=fleet.control_bytes(),
+            regional_control_bytes=fleet.control_bytes(('regional',)),
+            by_rank=found.by_rank,
+        )
+
+
+def is_kept(summary: Summary) -> bool:
+    """Return whether every promise held in a run."""
+    broken = (
+        summary.lost
+        + summary.doubled
+        + summary.mismatched
+        + summary.false_not_run
+    )
+    is_on_time = summary.convergence_s <= _CONVERGENCE_LIMIT_S
+    return (
+        summary.in_force
+        and summary.version == 2
+        and is_on_time
+        and summary.graceful_exit == 0
+        and not broken
+    )
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Run the demo and print its table and its last line.
+
+    :param arguments: command line without the program's name.
+    :returns: exit code; non-zero when a promise broke.
+    """
+    options = _parser().parse_args(arguments)
+    output = options.output or tempfile.mkdtemp(prefix='ragwort-demo-')
+    try:
+        summary = Demo(
+            pathlib.Path(options.example), pathlib.Path(output), options.seed
+        ).run()
+    except (RagwortstandError, OSError) as error:
+        return report(error, ExitCode.FAILED)
+    _say(f'logs and journals are in {output}\n')
+    _say(_table(summary))
+    _say(msgspec.json.encode(summary).decode())
+    return ExitCode.DONE if is_kept(summary) else ExitCode.FAILED
+
+
+def _printed(script: pathlib.Path) -> bytes:
+    return subprocess.run(
+        [sys.executable, str(script)], capture_output=True, check=True
+    ).stdout
+
+
+def _changed(mesh: Configuration) -> Configuration:
+    """Return the configuration with a longer deadline for the last rank."""
+    last = mesh.ranks[-1]
+    longer = Rank(**{**last.model_dump(), 'deadline_s': last.deadline_s + 1})
+    return mesh.model_copy(update={'ranks': (*mesh.ranks[:-1], longer)})
+
+
+def _table(summary: Summary) -> str:
+    line = '{0:<18}{1:>7}{2:>8}{3:>10}{4:>9}{5:>9}{6:>9}{7:>9}'.format
+    lines = [
+        line(
+            'RANK',
+            'SENT',
+            'SERVED',
+            'IN TARGET',
+            'NOT RUN',
+            'UNKNOWN',
+            'P50 MS',
+            'P99 MS',
+        ),
+    ]
+    lines.extend(
+        line(
+            rank,
+            part.sent,
+            part.served,
+            part.in_target,
+            part.refused_not_run,
+            part.may_have_run,
+            f'{part.p50_ms:.1f}',
+            f'{part.p99_ms:.1f}',
+        )
+        for rank, part in sorted(summary.by_rank.items())
+    )
+    return '\n'.join((*lines, ''))
+
+
+def _say(text: str) -> None:
+    sys.stdout.write(f'{text}\n')
+    sys.stdout.flush()
+
+
+def _parser() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(
+        prog='ragwort-demo',
+        description='Run the main job on an example deployment.',
+    )
+    add_version(parser)
+    parser.add_argument('example', help='folder of the example')
+    parser.add_argument('--output', help='folder for logs and journals')
+    parser.add_argument('--seed', type=int, default=1)
+    return parser
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/src/ragwortstand/tools/fleet.py
@@ -0,0 +1,455 @@
+"""ragwortstand.tools.fleet: starts a small fleet on loopback.
+
+For tests, the demo and experiments; a daemon itself starts no process.
+"""
+
+import contextlib
+import json
+import pathlib
+import re
+import signal
+import subprocess
+import sys
+import time
+from collections.abc import Callable, Iterator
+from typing import Any
+
+import httpcore
+import msgspec
+
+from ragwortstand.exceptions import RagwortstandError
+from ragwortstand.operators.client import AdminClient
+from ragwortstand.tools.deployment import Host
+from ragwortstand.tools.standin_backend import Behaviour
+from ragwortstand.tools.standin_link import LinkMode, LinkState
+from ragwortstand.tools.standin_platform import Faults, Tally
+
+TOKEN = 'loopback-operators-token'
+_START_TIMEOUT_S = 20.0
+_STOP_TIMEOUT_S = 30.0
+_POLL_S = 0.02
+_LOOPBACK = '127.0.0.1'
+
+
+class FleetError(RagwortstandError):
+    """A process of the fleet did not do what was asked."""
+
+
+class Process:
+    """One process of the fleet, with its output in a file.
+
+    :param module: Python module to run.
+    :param arguments: command line.
+    :param output: file for standard output and standard error.
+    """
+
+    def __init__(
+        self,
+        module: str,
+        arguments: list[str],
+        output: pathlib.Path,
+    ) -> None:
+        """Start the process."""
+        self.output = output
+        self._skip_bytes = output.stat().st_size if output.exists() else 0
+        with output.open('ab') as stream:
+            self._popen = subprocess.Popen(
+                [sys.executable, '-m', module, *arguments],
+                stdin=subprocess.DEVNULL,
+                stdout=stream,
+                stderr=subprocess.STDOUT,
+            )
+
+    @property
+    def is_running(self) -> bool:
+        """Return whether the process has not ended."""
+        return self._popen.poll() is None
+
+    @property
+    def pid(self) -> int:
+        """Return the process id."""
+        return self._popen.pid
+
+    def first_line(self, contains: str) -> dict[str, Any]:
+        """Return the first JSON line of this start that contains a text."""
+        give_up_s = time.monotonic() + _START_TIMEOUT_S
+        while time.monotonic() < give_up_s:
+            fresh = self.output.read_bytes()[self._skip_bytes :]
+            for line in fresh.splitlines(keepends=True):
+                if contains.encode() in line and line.endswith(b'\n'):
+                    found: dict[str, Any] = json.loads(line)
+                    return found
+            if not self.is_running:
+                break
+            time.sleep(_POLL_S)
+        text = self.output.read_text(errors='replace')[-2000:]
+        raise FleetError(f'{self.output.name} did not start: {text}')
+
+    def kill(self) -> None:
+        """End the process without notice."""
+        self._popen.kill()
+        self._popen.wait()
+
+    def stop(self, timeout_s: float = _STOP_TIMEOUT_S) -> int:
+        """Ask the process to stop and return its exit code."""
+        self._popen.terminate()
+        return self.wait(timeout_s)
+
+    def ask_to_stop(self) -> None:
+        """Send SIGTERM without waiting."""
+        self._popen.terminate()
+
+    def wait(self, timeout_s: float = _STOP_TIMEOUT_S) -> int:
+        """Wait for the end and return the exit code."""
+        return self._popen.wait(timeout_s)
+
+    def pause(self) -> None:
+        """Freeze the process."""
+        self._popen.send_signal(signal.SIGSTOP)
+
+    def resume(self) -> None:
+        """Let a frozen process go on."""
+        self._popen.send_signal(signal.SIGCONT)
+
+
+class Node:
+    """A backend server's host: the stand-in server and its daemon.
+
+    :param host: what the host is.
+    """
+
+    def __init__(self, host: Host) -> None:
+        """Start with nothing running."""
+        self.host = host
+        self.daemon: Process | None = None
+        self.server: Process | None = None
+        self.callers_port = 0
+        self.admin_port = 0
+        self.peer_address = ''
+        self.server_port = 0
+        self.link: 'LinkProcess | None' = None
+
+    @property
+    def url(self) -> str:
+        """Return the URL for callers."""
+        return f'http://{_LOOPBACK}:{self.callers_port}'
+
+    @property
+    def admin_url(self) -> str:
+        """Return the URL for operators."""
+        return f'http://{_LOOPBACK}:{self.admin_port}'
+
+    @property
+    def server_url(self) -> str:
+        """Return the URL of the backend server itself."""
+        return f'http://{_LOOPBACK}:{self.server_port}'
+
+    def admin(self) -> AdminClient:
+        """Return a client of this daemon's admin side."""
+        return AdminClient([self.admin_url], TOKEN)
+
+
+class LinkProcess:
+    """A running TCP relay.
+
+    :param process: its process.
+    """
+
+    def __init__(self, process: Process) -> None:
+        """Wait for its ports."""
+        self.process = process
+        ports = process.first_line('admin_port')
+        self.port: int = ports['port']
+        self._admin_url = f'http://{_LOOPBACK}:{ports["admin_port"]}'
+
+    def set(self, mode: LinkMode, delay_s: float = 0.0) -> None:
+        """Change what the relay does."""
+        state = LinkState(mode=mode, delay_s=delay_s)
+        post(f'{self._admin_url}/state', msgspec.json.encode(state))
+
+
+class Fleet:
+    """A platform, backend servers and daemons as separate processes.
+
+    Usage::
+
+        >>> with Fleet(hosts, folder, 'cluster', 'dakar') as fleet:
+        ...     fleet.start()
+        ...     fleet.submit(mesh)
+
+    :param hosts: the hosts.
+    :param folder: where logs and journals go.
+    :param cluster: name of the cluster.
+    :param store_region: region of the platform's store.
+    :param overrides: further settings of all daemons.
+    """
+
+    def __init__(
+        self,
+        hosts: tuple[Host, ...],
+        folder: pathlib.Path,
+        cluster: str,
+        store_region: str,
+        overrides: dict[str, Any] | None = None,
+    ) -> None:
+        """Prepare the folder; nothing is started."""
+        self.folder = folder
+        self.cluster = cluster
+        self.store_region = store_region
+        self.overrides = overrides or {}
+        self.nodes = {host.name: Node(host) for host in hosts}
+        self._platform: Process | None = None
+        self._platform_port = 0
+        self._platform_relay: LinkProcess | None = None
+        folder.mkdir(parents=True, exist_ok=True)
+
+    def __enter__(self) -> 'Fleet':
+        """Return the fleet itself."""
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        """End all processes."""
+        self.close()
+
+    def start(self) -> None:
+        """Start the platform, then all daemons and backend servers."""
+        self.start_platform()
+        for node in self.nodes.values():
+            self.spawn_daemon(node)
+        for node in self.nodes.values():
+            self.await_daemon(node)
+            self.spawn_server(node)
+        for node in self.nodes.values():
+            self.await_server(node)
+
+    def start_platform(self) -> None:
+        """Start the stand-in for the platform."""
+        arguments = ['platform', '--port', str(self._platform_port)]
+        self._platform = self._process('platform', arguments)
+        self._platform_port = self._platform.first_line('port')['port']
+
+    def put_link_before_platform(self) -> LinkProcess:
+        """Start a relay through which daemons reach the platform."""
+        self._platform_relay = self.start_link(
+            'platform', f'{_LOOPBACK}:{self._platform_port}'
+        )
+        return self._platform_relay
+
+    def start_link(self, name: str, target: str) -> LinkProcess:
+        """Start a TCP relay.
+
+        :param name: name of its output file.
+        :param target: ``address:port`` to relay to.
+        """
+        arguments = ['link', '--target', target]
+        return LinkProcess(self._process(f'link-{name}', arguments))
+
+    def spawn_daemon(self, node: Node) -> None:
+        """Start a daemon without waiting for it."""
+        path = self.folder / f'{node.host.name}.settings.json'
+        path.write_text(json.dumps(self._settings(node)))
+        node.daemon = Process(
+            'ragwortstand.daemon',
+            ['--settings', str(path)],
+            self.log_path(node),
+        )
+
+    def await_daemon(self, node: Node) -> None:
+        """Wait until a daemon listens and keep its ports."""
+        assert node.daemon
+        event = node.daemon.first_line('ragwort:listening')
+        node.callers_port = event['callers_port']
+        node.admin_port = event['admin_port']
+        node.peer_address = event['peer_address']
+
+    def start_daemon(self, node: Node) -> None:
+        """Start a daemon and wait until it listens."""
+        self.spawn_daemon(node)
+        self.await_daemon(node)
+
+    def spawn_server(self, node: Node) -> None:
+        """Start a backend server without waiting for it."""
+        host = node.host
+        arguments = [
+            'backend-server',
+            f'--name={host.name}',
+            f'--service={host.service}',
+            f'--slots={host.slots}',
+            f'--connections={host.connections}',
+            f'--service-time-s={host.service_time_s}',
+            f'--journal={self.journal_path(node)}',
+            f'--announce={node.admin_url}/v1/announce',
+            f'--port={node.server_port}',
+        ]
+        node.server = self._process(f'{host.name}.server', arguments)
+
+    def await_server(self, node: Node) -> None:
+        """Wait until a backend server listens and keep its port."""
+        assert node.server
+        node.server_port = node.server.first_line('port')['port']
+
+    def start_server(self, node: Node) -> None:
+        """Start a backend server and wait until it listens."""
+        self.spawn_server(node)
+        self.await_server(node)
+
+    def behave(self, node: Node, behaviour: Behaviour) -> None:
+        """Change the behaviour of a backend server."""
+        body = msgspec.json.encode(behaviour)
+        post(f'{node.server_url}/standin/behaviour', body)
+
+    def set_faults(self, faults: Faults) -> None:
+        """Change the faults of the platform's stand-in."""
+        url = f'http://{_LOOPBACK}:{self._platform_port}/faults'
+        post(url, msgspec.json.encode(faults))
+
+    def tally(self) -> Tally:
+        """Return the calls that the platform's stand-in counted."""
+        url = f'http://{_LOOPBACK}:{self._platform_port}/tally'
+        answer = httpcore.request('GET', url)
+        return msgspec.json.decode(answer.content, type=Tally)
+
+    def kill_platform(self) -> None:
+        """End the platform's stand-in; its rows and objects are lost."""
+        if self._platform:
+            self._platform.kill()
+
+    def admin(self) -> AdminClient:
+        """Return a client that tries the running daemons in order."""
+        urls = [node.admin_url for node in self.running()]
+        return AdminClient(urls, TOKEN)
+
+    def running(self) -> list[Node]:
+        """Return the nodes whose daemon runs."""
+        return [
+            node
+            for node in self.nodes.values()
+            if node.daemon and node.daemon.is_running
+        ]
+
+    def log_path(self, node: Node) -> pathlib.Path:
+        """Return the file of a daemon's events."""
+        return self.folder / f'{node.host.name}.log'
+
+    def journal_path(self, node: Node) -> pathlib.Path:
+        """Return the file of a backend server's journal."""
+        return self.folder / f'{node.host.name}.journal'
+
+    def journals(self) -> list[pathlib.Path]:
+        """Return the files of all journals."""
+        return sorted(self.folder.glob('*.journal'))
+
+    def control_bytes(self, scopes: tuple[str, ...] = ()) -> int:
+        """Return the control bytes that the running daemons sent.
+
+        :param scopes: only links of these scopes; all by default.
+        """
+        total = 0.0
+        for node in self.running():
+            with node.admin() as client:
+                total += sum(_sent_bytes(client.metrics(), scopes))
+        return int(total)
+
+    def await_members(self, count: int, timeout_s: float = 20) -> float:
+        """Wait until each daemon sees all backend servers as ready.
+
+        :param count: how many.
+        :param timeout_s: when to give up.
+        :returns: the time it took.
+        """
+
+        def is_complete() -> bool:
+            return all(
+                self._ready_count(node) >= count for node in self.running()
+            )
+
+        return wait_until(is_complete, timeout_s, f'{count} members')
+
+    def close(self) -> None:
+        """End all processes."""
+        processes = [self._platform]
+        for node in self.nodes.values():
+            processes += [node.daemon, node.server]
+            if node.link:
+                processes.append(node.link.process)
+        if self._platform_relay:
+            processes.append(self._platform_relay.process)
+        for process in processes:
+            if process and process.is_running:
+                process.resume()
+                process.kill()
+
+    def _ready_count(self, node: Node) -> int:
+        with node.admin() as client:
+            members = client.members().members
+        return sum(member.is_ready for member in members)
+
+    def _process(self, name: str, arguments: list[str]) -> Process:
+        return Process(
+            'ragwortstand.tools.standin_cli',
+            arguments,
+            self.folder / f'{name}.out',
+        )
+
+    def _settings(self, node: Node) -> dict[str, Any]:
+        host = node.host
+        platform_port = self._platform_port
+        if self._platform_relay:
+            platform_port = self._platform_relay.port
+        peer_port = int(node.peer_address.rpartition(':')[2] or 0)
+        settings: dict[str, Any] = {
+            'cluster': self.cluster,
+            'host': host.name,
+            'region': host.region,
+            'availability_zone': host.availability_zone,
+            'callers': {'port': node.callers_port},
+            'admin': {'port': node.admin_port, 'token': TOKEN},
+            'peers': {'port': peer_port},
+            'platform': {
+                'url': f'http://{_LOOPBACK}:{platform_port}',
+                'region': self.store_region,
+            },
+        }
+        settings.update(self.overrides)
+        return settings
+
+
+def post(url: str, body: bytes) -> None:
+    """Send a body to a stand-in.
+
+    :raises FleetError: when it does not answer with success.
+    """
+    answer = httpcore.request('POST', url, content=body)
+    if answer.status >= 300:
+        raise FleetError(f'{url} answered {answer.status}')
+
+
+def wait_until(
+    condition: Callable[[], bool],
+    timeout_s: float,
+    what: str,
+) -> float:
+    """Wait for a condition and return the time it took.
+
+    :param condition: what to wait for.
+    :param timeout_s: when to give up.
+    :param what: name of the condition.
+    :raises FleetError: when it does not hold in time.
+    """
+    started_s = time.monotonic()
+    while time.monotonic() - started_s < timeout_s:
+        with contextlib.suppress(RagwortstandError):
+            if condition():
+                return time.monotonic() - started_s
+        time.sleep(_POLL_S)
+    raise FleetError(f'no {what} within {timeout_s} s')
+
+
+def _sent_bytes(metrics: str, scopes: tuple[str, ...]) -> Iterator[float]:
+    pattern = (
+        r'ragwort_control_bytes_total\{direction="sent",link="(\w+)",'
+        r'message="\w+"\} (\S+)'
+    )
+    for scope, amount in re.findall(pattern, metrics):
+        if not scopes or scope in scopes:
+            yield float(amount)
