Pass an accepted version on at once, and make the linters clean

Cause: versions waited for the next poll of the head row (one second), and the first cut had large modules and no type checks.

Change: the daemon that has a submission accepted puts the version in force itself and offers it to its peers; the poll remains for versions that other ways brought in. Assembly, command line, HTTP clients, link scopes and the fleet launcher are modules of their own. ruff, flake8 with the wemake style and mypy (strict) run clean with a reasoned ignore list.

Ruled out: a shorter poll interval, which multiplies reads of the store and still costs half an interval on average.

--- a/src/ragwortstand/__init__.py
+++ b/src/ragwortstand/__init__.py
@@ -1,6 +1,6 @@
 """ragwortstand: configuration distribution for a service mesh."""
 
-from ragwortstand.api import check, parse
+from ragwortstand.api import check, parse  # noqa: WPS347
 from ragwortstand.exceptions import (
     ConfigurationError,
     Fault,
--- a/src/ragwortstand/backend_servers/server.py
+++ b/src/ragwortstand/backend_servers/server.py
@@ -1,8 +1,9 @@
 """ragwortstand.backend_servers.server: the backend server beside a daemon."""
 
 import enum
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass, field
+from types import MappingProxyType
 from typing import TypeAlias
 
 import anyio
@@ -15,13 +16,15 @@
     ShareAdmission,
     Ticket,
 )
+from ragwortstand.backend_servers.clients import (
+    HttpcoreConnection,
+    HttptoolsConnection,
+)
 from ragwortstand.backend_servers.connections import (
     Connect,
     ConnectionPool,
     Endpoint,
     HttpConnection,
-    HttpcoreConnection,
-    HttptoolsConnection,
     WireRequest,
 )
 from ragwortstand.backend_servers.crashes import CrashRecord
@@ -31,7 +34,6 @@
 from ragwortstand.ids import Fingerprint, ServiceName
 from ragwortstand.settings import DaemonSettings
 from ragwortstand.verdicts import (
-    Answered,
     Cause,
     Outcome,
     Refused,
@@ -40,10 +42,12 @@
 )
 from ragwortstand.versions import Snapshot
 
-_CONNECTS: dict[str, Connect] = {
-    'httptools': HttptoolsConnection.connect,
-    'httpcore': HttpcoreConnection.connect,
-}
+_CONNECTS: Mapping[str, Connect] = MappingProxyType(
+    {
+        'httptools': HttptoolsConnection.connect,
+        'httpcore': HttpcoreConnection.connect,
+    },
+)
 
 
 class BackendState(enum.Enum):
--- a/src/ragwortstand/callers/answers.py
+++ b/src/ragwortstand/callers/answers.py
@@ -1,6 +1,7 @@
 """ragwortstand.callers.answers: outcomes as HTTP answers to callers."""
 
 import math
+from types import MappingProxyType
 
 import msgspec
 
@@ -14,19 +15,21 @@
     Unknown,
 )
 
-_STATUS = {
-    Cause.NO_ROUTE: 404,
-    Cause.BAD_REQUEST: 400,
-    Cause.BODY_TOO_LARGE: 413,
-    Cause.DEADLINE: 504,
-    Cause.CONNECTION_LOST: 502,
-    Cause.PEER_UNREACHABLE: 502,
-    Cause.CRASHED: 502,
-    Cause.ANSWER_TOO_LARGE: 502,
-    Cause.QUARANTINED: 422,
-    Cause.ALREADY_CLAIMED: 409,
-    Cause.INTERNAL: 500,
-}
+_STATUS = MappingProxyType(
+    {
+        Cause.NO_ROUTE: 404,
+        Cause.BAD_REQUEST: 400,
+        Cause.BODY_TOO_LARGE: 413,
+        Cause.DEADLINE: 504,
+        Cause.CONNECTION_LOST: 502,
+        Cause.PEER_UNREACHABLE: 502,
+        Cause.CRASHED: 502,
+        Cause.ANSWER_TOO_LARGE: 502,
+        Cause.QUARANTINED: 422,
+        Cause.ALREADY_CLAIMED: 409,
+        Cause.INTERNAL: 500,
+    },
+)
 _UNAVAILABLE = 503
 _FINAL_REFUSALS = frozenset(
     (Cause.NO_ROUTE, Cause.BAD_REQUEST, Cause.BODY_TOO_LARGE),
--- a/src/ragwortstand/callers/front.py
+++ b/src/ragwortstand/callers/front.py
@@ -2,11 +2,10 @@
 
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
-from typing import Any, TypeAlias
+from typing import Any, TypeAlias, cast
 from uuid import uuid4
 
 import anyio
-import anyio.abc
 
 from ragwortstand.backend_servers import end_to_end
 from ragwortstand.callers.answers import render
@@ -34,6 +33,7 @@
 
 _WATCH_AFTER_S = 0.1
 _MAX_KEY_BYTES = 200
+_DISCONNECT = 'http.disconnect'
 _NO_RANK = 'none'
 _OVERLOAD_RETRY_S = 0.5
 _OWN_HEADERS = frozenset(
@@ -84,11 +84,6 @@
         self._visits: set[_Visit] = set()
         self.is_leaving = False
 
-    @property
-    def in_flight(self) -> int:
-        """Return how many requests are being answered."""
-        return len(self._visits)
-
     async def __call__(
         self,
         scope: Scope,
@@ -106,6 +101,11 @@
         finally:
             self._visits.remove(visit)
 
+    @property
+    def in_flight(self) -> int:
+        """Return how many requests are being answered."""
+        return len(self._visits)
+
     async def watch(self) -> None:
         """Cancel requests whose callers have gone, until cancelled.
 
@@ -115,12 +115,16 @@
         async with anyio.create_task_group() as watchers:
             while True:
                 await anyio.sleep(_WATCH_AFTER_S)
-                now_s = anyio.current_time()
-                for visit in tuple(self._visits):
-                    age_s = now_s - visit.since_s
-                    if age_s > _WATCH_AFTER_S and not visit.is_watched:
-                        visit.is_watched = True
-                        watchers.start_soon(_cancel_when_gone, visit)
+                for visit in self._unwatched(anyio.current_time()):
+                    visit.is_watched = True
+                    watchers.start_soon(_cancel_when_gone, visit)
+
+    def _unwatched(self, now_s: float) -> list[_Visit]:
+        return [
+            visit
+            for visit in self._visits
+            if not visit.is_watched and now_s - visit.since_s > _WATCH_AFTER_S
+        ]
 
     async def _answer(
         self,
@@ -146,7 +150,7 @@
     async def _dispatch(self, call: Call) -> Outcome:
         try:
             return await self._dispatcher.dispatch(call)
-        except Exception as error:  # noqa: BLE001
+        except Exception as error:
             self._log.emit(
                 Event.TASK_FAILED, request=call.request_id, problem=repr(error)
             )
@@ -193,15 +197,16 @@
         if int(headers.get(b'content-length', b'0')) > limit:
             raise RequestTooLargeError
         body = b''
-        while True:
+        is_complete = False
+        while not is_complete:
             message = await receive()
-            if message['type'] == 'http.disconnect':
+            if message['type'] == _DISCONNECT:
                 raise CallerGoneError
-            body += message.get('body', b'')
+            body += cast(bytes, message.get('body', b''))
             if len(body) > limit:
                 raise RequestTooLargeError
-            if not message.get('more_body', False):
-                return body
+            is_complete = not message.get('more_body', False)
+        return body
 
     def _account(
         self,
@@ -308,7 +313,7 @@
 
 async def _cancel_when_gone(visit: _Visit) -> None:
     message = await visit.receive()
-    if message['type'] == 'http.disconnect':
+    if message['type'] == _DISCONNECT:
         visit.scope.cancel()
 
 
--- a/src/ragwortstand/daemon.py
+++ b/src/ragwortstand/daemon.py
@@ -1,35 +1,25 @@
 """ragwortstand.daemon: the daemon beside a backend server, put together."""
 
-import argparse
 import random
-import signal
-import sys
 import time
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable
 
 import anyio
-import anyio.abc
+from anyio.abc import TaskGroup
 
 from ragwortstand.backend_servers import BackendServer, BackendState
 from ragwortstand.callers import Dispatcher, Front
-from ragwortstand.commands import ExitCode, add_version, report
-from ragwortstand.events import EliotLog, Event, EventLog
-from ragwortstand.exceptions import SettingsError
+from ragwortstand.events import Event, EventLog
 from ragwortstand.ids import (
     Fingerprint,
     HostId,
-    PeerAddress,
     RegionName,
     ZoneName,
 )
 from ragwortstand.metrics import Metrics
-from ragwortstand.operators.admin import Admin, FleetReport
-from ragwortstand.peers.choice import (
-    Choice,
-    Place,
-    RandomChoice,
-    SignalChoice,
-)
+from ragwortstand.operators.admin import Admin
+from ragwortstand.operators.fleet_report import FleetReport
+from ragwortstand.peers.choice import choice_for
 from ragwortstand.peers.distribution import Distributor
 from ragwortstand.peers.forwarding import ForwardedWork, Forwarder
 from ragwortstand.peers.gossip import Gossip
@@ -44,14 +34,11 @@
     MemberState,
     Ping,
 )
-from ragwortstand.peers.retries import (
-    BudgetedRetries,
-    NaiveRetries,
-    RetryPolicy,
-)
+from ragwortstand.peers.retries import retries_for
+from ragwortstand.peers.scopes import LinkScopes
 from ragwortstand.platform import Acceptance, EntryPoints, PlatformClient
 from ragwortstand.servers import HttpServer, bind, http_server, port_of
-from ragwortstand.settings import DaemonSettings, load_settings
+from ragwortstand.settings import DaemonSettings
 from ragwortstand.versions import Snapshot, VersionGate
 
 _WATCH_LINKS_S = 0.5
@@ -86,7 +73,7 @@
         self._build_calls()
         self._build_admin()
         self._stopping = anyio.Event()
-        self._tasks: anyio.abc.TaskGroup | None = None
+        self._tasks: TaskGroup | None = None
 
     async def run(self) -> None:
         """Serve until told to stop, then leave in order."""
@@ -153,15 +140,18 @@
         )
         self._members = Members(own, settings.membership, time.monotonic())
         self._members.on_change = self._on_member
+        self._scopes = LinkScopes(self._members)
         self._links = Links(
             settings.cluster,
             own.host,
             self._metrics,
             self._log,
             self._max_message_bytes,
-            self._scope_of,
+            lambda address: self._scopes.of_address(address).value,
+        )
+        self._listener.scope_of_host = lambda host: (
+            self._scopes.of_host(host).value
         )
-        self._listener.scope_of_host = self._scope_of_host
         self._platform = PlatformClient(
             settings.platform, self._metrics, self._log
         )
@@ -201,8 +191,8 @@
         self._forwarder = Forwarder(self._links)
         dispatcher = Dispatcher(
             self._members,
-            self._choice(),
-            self._retry_policy(),
+            choice_for(settings, self._members.own, self._rng),
+            retries_for(settings),
             self._backend_server,
             self._forwarder,
             self._metrics,
@@ -242,7 +232,7 @@
             is_platform_reachable=lambda: self._platform.is_reachable,
         )
 
-    def _start(self, tasks: anyio.abc.TaskGroup) -> list[HttpServer]:
+    def _start(self, tasks: TaskGroup) -> list[HttpServer]:
         callers = http_server(self._front)
         admin = http_server(self._admin.app)
         tasks.start_soon(callers.serve, [self._callers_socket])
@@ -264,7 +254,7 @@
         while True:
             try:
                 await task()
-            except Exception as error:  # noqa: BLE001
+            except Exception as error:
                 self._log.emit(
                     Event.TASK_FAILED,
                     task=task.__qualname__,
@@ -289,7 +279,7 @@
 
     async def _leave(self) -> None:
         self.drain()
-        while self._in_flight:
+        while self._in_flight:  # noqa: ASYNC110
             await anyio.sleep(_DRAIN_POLL_S)
         self._members.update_own(state=MemberState.LEFT)
         await self._gossip.spread()
@@ -309,17 +299,6 @@
     def _snapshot(self) -> Snapshot | None:
         return self._gate.snapshot if self._distributor.is_settled else None
 
-    def _choice(self) -> Choice:
-        own = self._members.own
-        if self._settings.policies.choice == 'random':
-            return RandomChoice(self._rng)
-        return SignalChoice(Place(own.host, own.zone, own.region), self._rng)
-
-    def _retry_policy(self) -> RetryPolicy:
-        if self._settings.policies.retry == 'naive':
-            return NaiveRetries()
-        return BudgetedRetries()
-
     def _on_backend_server(self) -> None:
         announcement = self._backend_server.announcement
         is_ready = self._backend_server.state is BackendState.READY
@@ -335,6 +314,7 @@
             self._tasks.start_soon(self._gossip.spread)
 
     def _on_member(self, member: Member) -> None:
+        self._scopes.learn(member)
         self._log.emit(
             Event.MEMBER,
             member=member.host,
@@ -343,22 +323,6 @@
             is_ready=member.is_ready,
         )
 
-    def _scope_of(self, address: PeerAddress) -> str:
-        for member in self._members.all():
-            if member.peer_address == address:
-                return self._scope_of_member(member)
-        return 'unknown'
-
-    def _scope_of_host(self, host: HostId) -> str:
-        member = self._members.get(host)
-        return self._scope_of_member(member) if member else 'unknown'
-
-    def _scope_of_member(self, member: Member) -> str:
-        own = self._members.own
-        if member.region != own.region:
-            return 'regional'
-        return 'zone' if member.zone == own.zone else 'region'
-
     def _announce_listening(self) -> None:
         self._log.emit(
             Event.LISTENING,
@@ -366,48 +330,3 @@
             admin_port=port_of(self._admin_socket),
             peer_address=self._listener.address,
         )
-
-
-async def _run(settings: DaemonSettings) -> None:
-    daemon = Daemon(settings, EliotLog(settings.host, sys.stdout))
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(daemon.run)
-            async for _ in signals:
-                daemon.stop()
-                break
-
-
-def main(arguments: Sequence[str] | None = None) -> int:
-    """Run the daemon.
-
-    :param arguments: command line without the program's name.
-    :returns: exit code.
-    """
-    parser = argparse.ArgumentParser(
-        prog='ragwortd',
-        description='Daemon of ragwortstand beside one backend server.',
-    )
-    add_version(parser)
-    parser.add_argument('--settings', required=True, metavar='FILE')
-    parser.add_argument(
-        '--check-settings',
-        action='store_true',
-        help='check the settings, list every fault, and exit',
-    )
-    options = parser.parse_args(arguments)
-    try:
-        settings = load_settings(options.settings)
-    except SettingsError as error:
-        return report(error, ExitCode.FAULTY)
-    if options.check_settings:
-        return ExitCode.DONE
-    try:
-        anyio.run(_run, settings, backend_options={'use_uvloop': True})
-    except OSError as error:
-        return report(error, ExitCode.FAILED)
-    return ExitCode.DONE
-
-
-if __name__ == '__main__':
-    sys.exit(main())
--- a/src/ragwortstand/models.py
+++ b/src/ragwortstand/models.py
@@ -69,7 +69,7 @@
     :param deadline_s: time to answer; None takes the rank's.
     """
 
-    path: Annotated[str, Field(pattern='^/[^?#\\s]*$', max_length=512)]
+    path: Annotated[str, Field(pattern=r'^/[^?#\s]*$', max_length=512)]
     service: _Name
     rank: _Name
     methods: tuple[Annotated[str, Field(pattern='^[A-Z]+$')], ...] = ()
--- a/src/ragwortstand/operators/admin.py
+++ b/src/ragwortstand/operators/admin.py
@@ -2,7 +2,8 @@
 
 import hmac
 import time
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable
+from types import MappingProxyType
 
 import anyio
 import msgspec
@@ -15,22 +16,17 @@
 from ragwortstand.backend_servers import Announcement, BackendServer
 from ragwortstand.events import Event, EventLog
 from ragwortstand.exceptions import Fault, PlatformError
-from ragwortstand.ids import HostId, SubmissionId, Version
+from ragwortstand.ids import SubmissionId, Version
 from ragwortstand.metrics import Metrics
 from ragwortstand.operators.documents import (
-    AppliedReport,
     CheckReport,
     ErrorReport,
     FaultReport,
     HistoryReport,
-    MemberReport,
-    MembersReport,
     StatusReport,
     SubmissionReport,
 )
-from ragwortstand.peers.distribution import Distributor
-from ragwortstand.peers.members import Members
-from ragwortstand.peers.messages import Member
+from ragwortstand.operators.fleet_report import FleetReport
 from ragwortstand.platform import (
     Acceptance,
     Accepted,
@@ -42,75 +38,21 @@
 )
 from ragwortstand.versions import VersionGate
 
-_ASKED_AT_ONCE = 64
 _DEFAULT_HISTORY = 20
 _MAX_HISTORY = 200
 _LOOPBACK = '127.'
-_SUBMISSION_STATUS = {
-    Accepted: 200,
-    Faulty: 422,
-    Conflict: 409,
-    Unavailable: 503,
-}
+_SUBMISSION_STATUS = MappingProxyType(
+    {
+        Accepted: 200,
+        Faulty: 422,
+        Conflict: 409,
+        Unavailable: 503,
+    },
+)
 
 Endpoint = Callable[[Request], Awaitable[Response]]
 
 
-class FleetReport:
-    """Answers questions about all daemons.
-
-    :param members: the list of members.
-    :param distributor: asks members for their version.
-    :param gate: holds this daemon's version.
-    """
-
-    def __init__(
-        self,
-        members: Members,
-        distributor: Distributor,
-        gate: VersionGate,
-    ) -> None:
-        """Keep the collaborators."""
-        self._members = members
-        self._distributor = distributor
-        self._gate = gate
-
-    @property
-    def own_host(self) -> HostId:
-        """Return this daemon's host."""
-        return self._members.own.host
-
-    @property
-    def is_ready(self) -> bool:
-        """Return whether this daemon has settled on a version."""
-        return self._distributor.is_settled and self._gate.version > 0
-
-    def members(self) -> MembersReport:
-        """Return all members as this daemon sees them."""
-        known = sorted(self._members.all(), key=lambda member: member.host)
-        return MembersReport(tuple(_member_report(one) for one in known))
-
-    async def applied(self, version: Version) -> AppliedReport:
-        """Ask every live daemon for its version.
-
-        :param version: the version to compare with.
-        """
-        held: dict[HostId, Version | None] = {
-            self._members.own.host: self._gate.version,
-        }
-        limiter = anyio.CapacityLimiter(_ASKED_AT_ONCE)
-
-        async def ask(member: Member) -> None:
-            async with limiter:
-                answer = await self._distributor.ask_applied(member)
-                held[member.host] = answer
-
-        async with anyio.create_task_group() as questions:
-            for member in self._members.peers():
-                questions.start_soon(ask, member)
-        return _applied_report(version, held)
-
-
 class Admin:
     """The admin interface as an ASGI application in `app`.
 
@@ -197,6 +139,8 @@
             author=query.get('author', ''),
         )
         outcome = await self._acceptance.submit(submission, time.time())
+        if isinstance(outcome, Accepted):
+            self._fleet.pass_on(outcome.record, submission.content)
         self._tell(outcome, submission)
         status = _SUBMISSION_STATUS[type(outcome)]
         return _json(_submission_report(outcome), status)
@@ -310,36 +254,3 @@
                 problem=outcome.problem,
                 verdict=outcome.verdict.value,
             )
-
-
-def _member_report(member: Member) -> MemberReport:
-    return MemberReport(
-        host=member.host,
-        region=member.region,
-        zone=member.zone,
-        state=member.state.name.lower(),
-        service=member.service or '',
-        slots=member.slots,
-        is_ready=member.is_ready,
-        incarnation=member.incarnation,
-        peer_address=member.peer_address,
-    )
-
-
-def _applied_report(
-    version: Version,
-    held: dict[HostId, Version | None],
-) -> AppliedReport:
-    answered = {host: one for host, one in held.items() if one is not None}
-    return AppliedReport(
-        version=version,
-        applied=_hosts(
-            host for host, one in answered.items() if one >= version
-        ),
-        lagging=_hosts(host for host, one in answered.items() if one < version),
-        silent=_hosts(host for host in held if host not in answered),
-    )
-
-
-def _hosts(hosts: Iterable[HostId]) -> tuple[HostId, ...]:
-    return tuple(sorted(hosts))
--- a/src/ragwortstand/operators/cli.py
+++ b/src/ragwortstand/operators/cli.py
@@ -7,6 +7,7 @@
 import sys
 import time
 from collections.abc import Callable, Sequence
+from types import MappingProxyType
 from uuid import uuid4
 
 import msgspec
@@ -27,12 +28,14 @@
 )
 from ragwortstand.verdicts import Verdict
 
-_EXIT_CODES = {
-    'accepted': ExitCode.DONE,
-    'faulty': ExitCode.FAULTY,
-    'conflict': ExitCode.CONFLICT,
-    'unavailable': ExitCode.UNAVAILABLE,
-}
+_EXIT_CODES = MappingProxyType(
+    {
+        'accepted': ExitCode.DONE,
+        'faulty': ExitCode.FAULTY,
+        'conflict': ExitCode.CONFLICT,
+        'unavailable': ExitCode.UNAVAILABLE,
+    },
+)
 _WAIT_INTERVAL_S = 0.1
 _EPILOG = """\
 exit codes: 0 done; 1 failed; 2 faulty input or command line; 3 another
@@ -280,7 +283,7 @@
 ) -> None:
     _add(commands, 'status', _status, 'show the state of one daemon')
     wait = _add(commands, 'wait', _wait, 'wait until a version is in force')
-    wait.add_argument('--version', type=int, help='default: the daemon’s own')
+    wait.add_argument('--version', type=int, help='default: the one in force')
     wait.add_argument('--timeout', type=float, default=30, metavar='SECONDS')
     history = _add(commands, 'history', _history, 'list accepted versions')
     history.add_argument('--limit', type=int, default=20)
--- a/src/ragwortstand/operators/client.py
+++ b/src/ragwortstand/operators/client.py
@@ -69,7 +69,7 @@
     def __init__(self, urls: Sequence[str], token: str) -> None:
         """Prepare the pool; connections are opened on first use."""
         self._urls = tuple(url.rstrip('/') for url in urls)
-        self._headers = {'authorization': f'Bearer {token}'}
+        self._headers = [(b'authorization', f'Bearer {token}'.encode())]
         self._pool = httpcore.ConnectionPool()
 
     def __enter__(self) -> 'AdminClient':
--- /dev/null
+++ b/src/ragwortstand/operators/fleet_report.py
@@ -0,0 +1,117 @@
+"""ragwortstand.operators.fleet_report: questions about all daemons."""
+
+from collections.abc import Iterable
+
+import anyio
+
+from ragwortstand import api
+from ragwortstand.ids import HostId, Version
+from ragwortstand.operators.documents import (
+    AppliedReport,
+    MemberReport,
+    MembersReport,
+)
+from ragwortstand.peers.distribution import Distributor
+from ragwortstand.peers.members import Members
+from ragwortstand.peers.messages import Member
+from ragwortstand.platform import VersionRecord
+from ragwortstand.versions import VersionGate
+
+_ASKED_AT_ONCE = 64
+
+
+class FleetReport:
+    """Answers questions about all daemons.
+
+    :param members: the list of members.
+    :param distributor: asks members for their version.
+    :param gate: holds this daemon's version.
+    """
+
+    def __init__(
+        self,
+        members: Members,
+        distributor: Distributor,
+        gate: VersionGate,
+    ) -> None:
+        """Keep the collaborators."""
+        self._members = members
+        self._distributor = distributor
+        self._gate = gate
+
+    @property
+    def own_host(self) -> HostId:
+        """Return this daemon's host."""
+        return self._members.own.host
+
+    @property
+    def is_ready(self) -> bool:
+        """Return whether this daemon has settled on a version."""
+        return self._distributor.is_settled and self._gate.version > 0
+
+    def members(self) -> MembersReport:
+        """Return all members as this daemon sees them."""
+        known = sorted(self._members.all(), key=lambda member: member.host)
+        return MembersReport(tuple(_member_report(one) for one in known))
+
+    def pass_on(self, record: VersionRecord, content: bytes) -> None:
+        """Put a version in force that was accepted here, and offer it.
+
+        :param record: the accepted version.
+        :param content: JSON text that was submitted.
+        """
+        canonical = api.parse(content).to_json().encode()
+        self._distributor.accepted(record, canonical)
+
+    async def applied(self, version: Version) -> AppliedReport:
+        """Ask every live daemon for its version.
+
+        :param version: the version to compare with.
+        """
+        held: dict[HostId, Version | None] = {
+            self._members.own.host: self._gate.version,
+        }
+        limiter = anyio.CapacityLimiter(_ASKED_AT_ONCE)
+
+        async def ask(member: Member) -> None:
+            async with limiter:
+                answer = await self._distributor.ask_applied(member)
+                held[member.host] = answer
+
+        async with anyio.create_task_group() as questions:
+            for member in self._members.peers():
+                questions.start_soon(ask, member)
+        return _applied_report(version, held)
+
+
+def _member_report(member: Member) -> MemberReport:
+    return MemberReport(
+        host=member.host,
+        region=member.region,
+        zone=member.zone,
+        state=member.state.name.lower(),
+        service=member.service or '',
+        slots=member.slots,
+        is_ready=member.is_ready,
+        incarnation=member.incarnation,
+        peer_address=member.peer_address,
+    )
+
+
+def _applied_report(
+    version: Version,
+    held: dict[HostId, Version | None],
+) -> AppliedReport:
+    answered = {host: one for host, one in held.items() if one is not None}
+    return AppliedReport(
+        version=version,
+        applied=_hosts(
+            host for host, one in answered.items() if one >= version
+        ),
+        lagging=_hosts(host for host, one in answered.items() if one < version),
+        silent=_hosts(host for host in held if host not in answered),
+    )
+
+
+def _hosts(hosts: Iterable[HostId]) -> tuple[HostId, ...]:
+    return tuple(sorted(hosts))
--- a/src/ragwortstand/peers/choice.py
+++ b/src/ragwortstand/peers/choice.py
@@ -3,11 +3,13 @@
 import random
 from collections.abc import Collection, Sequence
 from dataclasses import dataclass
+from itertools import chain
 from typing import Protocol
 
 from ragwortstand.ids import HostId, RegionName, ZoneName
 from ragwortstand.models import Rank
 from ragwortstand.peers.messages import Member
+from ragwortstand.settings import DaemonSettings
 from ragwortstand.verdicts import Answered, Cause, Outcome
 
 _MEAN_WEIGHT = 0.2
@@ -17,6 +19,7 @@
 _SLOW_SLACK_S = 0.05
 _BLOCK_MIN_S = 0.5
 _BLOCK_MAX_S = 5.0
+_TIERS = 4
 _TARGET_FAILURES = frozenset(
     (
         Cause.BACKEND_SERVER_DOWN,
@@ -192,11 +195,11 @@
         rank: Rank,
         tried: Collection[HostId],
     ) -> list[list[Member]]:
-        tiers: list[list[Member]] = [[], [], [], []]
+        tiers: list[list[Member]] = [[] for _ in range(_TIERS)]
         for member in members:
             if member.host not in tried:
                 tiers[self._place.distance(member)].append(member)
-        return tiers if rank.cross_region else tiers[:3]
+        return tiers if rank.cross_region else tiers[:-1]
 
     def _pick(
         self,
@@ -233,9 +236,10 @@
         rank: Rank,
         now_s: float,
     ) -> float:
+        signals = [self._signal(member.host, rank) for member in members]
         known = [
             signal.latency_s
-            for signal in (self._signal(one.host, rank) for one in members)
+            for signal in signals
             if signal.latency_s and self._is_recent(signal, now_s)
         ]
         return min(known, default=0.0)
@@ -259,7 +263,7 @@
         tiers: list[list[Member]],
         rank: Rank,
     ) -> Member | None:
-        blocked = [member for tier in tiers for member in tier]
+        blocked = chain.from_iterable(tiers)
         return min(
             blocked,
             key=lambda one: self._signal(one.host, rank).blocked_until_s,
@@ -306,3 +310,19 @@
         now_s: float,
     ) -> None:
         """Ignore the outcome."""
+
+
+def choice_for(
+    settings: DaemonSettings,
+    own: Member,
+    rng: random.Random,
+) -> Choice:
+    """Return the choice that the settings ask for.
+
+    :param settings: the daemon's settings.
+    :param own: this daemon's entry in the list of members.
+    :param rng: source of randomness.
+    """
+    if settings.policies.choice == 'random':
+        return RandomChoice(rng)
+    return SignalChoice(Place(own.host, own.zone, own.region), rng)
--- a/src/ragwortstand/peers/distribution.py
+++ b/src/ragwortstand/peers/distribution.py
@@ -11,8 +11,8 @@
 import random
 
 import anyio
-import anyio.abc
 import zstandard
+from anyio.abc import TaskGroup
 
 from ragwortstand.events import Event, EventLog
 from ragwortstand.exceptions import PeerError, PlatformError
@@ -75,7 +75,7 @@
         self._metrics = metrics
         self._log = log
         self._rng = rng
-        self._tasks: anyio.abc.TaskGroup | None = None
+        self._tasks: TaskGroup | None = None
         self._is_fetching = False
         self._newest_heard = NO_VERSION
         self.is_settled = False
@@ -104,6 +104,15 @@
             self._is_fetching = True
             self._tasks.start_soon(self._fetch_in_turn, version, address)
 
+    def accepted(self, record: VersionRecord, content: bytes) -> None:
+        """Put a version in force that this daemon has just had accepted.
+
+        :param record: the accepted version.
+        :param content: its canonical JSON in UTF-8.
+        """
+        offer = self._gate.offer(record.version, record.digest, content)
+        self._report(offer, record.version)
+
     def on_fetch(self, request: FetchVersion) -> VersionContent | NotHeld:
         """Answer with the content of the version in force.
 
--- a/src/ragwortstand/peers/forwarding.py
+++ b/src/ragwortstand/peers/forwarding.py
@@ -1,11 +1,12 @@
 """ragwortstand.peers.forwarding: hands requests to other daemons."""
 
+import asyncio
 import contextlib
 from collections.abc import Callable
 from dataclasses import dataclass
 
 import anyio
-import anyio.abc
+from anyio.abc import TaskGroup
 
 from ragwortstand.backend_servers import BackendServer
 from ragwortstand.calls import Call
@@ -51,9 +52,9 @@
     def __init__(self, links: Links) -> None:
         """Keep the links."""
         self._links = links
-        self._tasks: anyio.abc.TaskGroup | None = None
+        self._tasks: TaskGroup | None = None
 
-    def start(self, tasks: anyio.abc.TaskGroup) -> None:
+    def start(self, tasks: TaskGroup) -> None:
         """Use a task group for cancellations that outlive their request."""
         self._tasks = tasks
 
@@ -72,7 +73,7 @@
             )
         except PeerError as error:
             return Attempt(_outcome_of_error(error, call), 0)
-        except anyio.get_cancelled_exc_class():
+        except asyncio.CancelledError:
             self._cancel(call, member)
             raise
         if not isinstance(reply, WorkDone):
--- a/src/ragwortstand/peers/gossip.py
+++ b/src/ragwortstand/peers/gossip.py
@@ -10,7 +10,6 @@
 from collections.abc import Callable, Iterable
 
 import anyio
-import anyio.abc
 
 from ragwortstand.exceptions import PeerError
 from ragwortstand.ids import HostId, PeerAddress, Version
@@ -95,7 +94,7 @@
             groups.extend(_grouped(peers, own.region, _region))
         first = self._next_of(groups[0])
         others = [self._rng.choice(group) for group in groups[1:] if group]
-        return ([first] if first else []) + others
+        return [first, *others] if first else others
 
     async def spread(self) -> None:
         """Tell a few random members the news at once."""
--- a/src/ragwortstand/peers/listener.py
+++ b/src/ragwortstand/peers/listener.py
@@ -4,9 +4,9 @@
 from collections.abc import Awaitable, Callable
 
 import anyio
-import anyio.abc
 import msgspec
 import pynng
+from anyio.abc import TaskGroup
 
 from ragwortstand.events import Event, EventLog
 from ragwortstand.ids import HostId, PeerAddress
@@ -57,6 +57,7 @@
         listener = self._socket.listen(address)
         self.address = PeerAddress(f'tcp://{listener.local_address}')
         self._idle = 0
+        self.scope_of_host: Callable[[HostId], str] = _unknown_scope
 
     async def serve(self, handler: Handler) -> None:
         """Answer requests until cancelled.
@@ -71,7 +72,7 @@
 
     async def _receive(
         self,
-        receivers: anyio.abc.TaskGroup,
+        receivers: TaskGroup,
         handler: Handler,
     ) -> None:
         with contextlib.closing(self._socket.new_context()) as context:
@@ -86,9 +87,7 @@
                 if not self._idle:
                     receivers.start_soon(self._receive, receivers, handler)
                 reply = await self._answer(wire, handler)
-                with contextlib.suppress(pynng.NNGException, TimeoutError):
-                    with anyio.fail_after(_SEND_TIMEOUT_S):
-                        await context.asend(encode(reply))
+                await _send(context, encode(reply))
 
     async def _answer(self, wire: bytes, handler: Handler) -> Reply:
         try:
@@ -101,7 +100,7 @@
         self._count(envelope, envelope.request, len(wire), 'received')
         try:
             reply = await handler(envelope.sender, envelope.request)
-        except Exception as error:  # noqa: BLE001
+        except Exception as error:
             return self._refuse('internal', repr(error))
         if not isinstance(reply, WorkDone):
             self._count(envelope, reply, len(encode(reply)), 'sent')
@@ -127,6 +126,13 @@
         )
         counter.inc(size_bytes)
 
-    def scope_of_host(self, host: HostId) -> str:
-        """Return the scope of the link to a host; set by the daemon."""
-        return 'unknown'
+
+def _unknown_scope(host: HostId) -> str:
+    return 'unknown'
+
+
+async def _send(context: pynng.Context, wire: bytes) -> None:
+    """Send a reply; one that nobody waits for any more is dropped."""
+    with anyio.move_on_after(_SEND_TIMEOUT_S):
+        with contextlib.suppress(pynng.NNGException):
+            await context.asend(wire)
--- a/src/ragwortstand/peers/members.py
+++ b/src/ragwortstand/peers/members.py
@@ -48,6 +48,7 @@
         self._own_host = own.host
         self._news: dict[HostId, int] = {own.host: 0}
         self._candidates: dict[ServiceName, tuple[Member, ...]] | None = None
+        self._orders: dict[str, list[HostId]] = {}
         self.on_change: Callable[[Member], None] = _ignore
 
     @property
@@ -168,14 +169,23 @@
         :param zone: only members of this availability zone.
         :param region: only members of this region.
         """
-        hosts = [
+        key = f'{role}/{region}/{zone}'
+        order = self._orders.get(key)
+        if order is None:
+            order = ranked(key, self._hosts_in(zone, region))
+            self._orders[key] = order
+        return [self._entries[host].member for host in order[:count]]
+
+    def _hosts_in(
+        self,
+        zone: ZoneName | None,
+        region: RegionName | None,
+    ) -> list[HostId]:
+        return [
             member.host
             for member in self.usable()
             if zone in {None, member.zone} and region in {None, member.region}
         ]
-        key = f'{role}/{region}/{zone}'
-        chosen = ranked(key, hosts)[:count]
-        return [self._entries[host].member for host in chosen]
 
     def _by_service(self) -> dict[ServiceName, tuple[Member, ...]]:
         found: dict[ServiceName, list[Member]] = {}
@@ -218,12 +228,14 @@
             entry.changed_at_s = now_s or entry.changed_at_s
         self._news[member.host] = 0
         self._candidates = None
+        self._orders.clear()
         self.on_change(member)
 
     def _forget(self, host: HostId) -> None:
         self._entries.pop(host)
         self._news.pop(host, None)
         self._candidates = None
+        self._orders.clear()
 
 
 def _ignore(member: Member) -> None:
--- a/src/ragwortstand/peers/retries.py
+++ b/src/ragwortstand/peers/retries.py
@@ -4,6 +4,7 @@
 from typing import Protocol
 
 from ragwortstand.calls import Call
+from ragwortstand.settings import DaemonSettings
 from ragwortstand.verdicts import Answered, Cause, Outcome, Refused
 
 MAX_ATTEMPTS = 3
@@ -83,3 +84,10 @@
     if call.attempt >= MAX_ATTEMPTS or not call.remaining_s(now_s):
         return False
     return isinstance(outcome, Refused) or call.is_idempotent
+
+
+def retries_for(settings: DaemonSettings) -> RetryPolicy:
+    """Return the retry policy that the settings ask for."""
+    if settings.policies.retry == 'naive':
+        return NaiveRetries()
+    return BudgetedRetries()
--- a/src/ragwortstand/platform/acceptance.py
+++ b/src/ragwortstand/platform/acceptance.py
@@ -191,6 +191,13 @@
         outcome = await self._table.transact(_transaction(record, head))
         if outcome.committed:
             return Accepted(record)
+        return await self._settle_lost_race(submission)
+
+    async def _settle_lost_race(
+        self,
+        submission: Submission,
+    ) -> Accepted | Conflict:
+        """Tell an earlier transaction of our own from another operator's."""
         known = await self._submitted(submission.submission)
         return Accepted(known) if known else Conflict(await self.head())
 
--- a/src/ragwortstand/rendezvous.py
+++ b/src/ragwortstand/rendezvous.py
@@ -21,4 +21,6 @@
     :param key: what is to be placed.
     :param hosts: the candidates.
     """
-    return sorted(hosts, key=lambda host: (weight(key, host), host))[::-1]
+    weighted = [(weight(key, host), host) for host in hosts]
+    weighted.sort(reverse=True)
+    return [host for _, host in weighted]
--- a/src/ragwortstand/tools/demo.py
+++ b/src/ragwortstand/tools/demo.py
@@ -25,8 +25,9 @@
 from ragwortstand.models import Configuration, Rank
 from ragwortstand.tools.audit import Audit, RankReport, audit, read_journals
 from ragwortstand.tools.deployment import Deployment, load_deployment
-from ragwortstand.tools.fleet import Fleet, Node, wait_until
+from ragwortstand.tools.fleet import Fleet, Node
 from ragwortstand.tools.load import Callers, Plan
+from ragwortstand.tools.processes import wait_until
 
 _LOAD_S = 20.0
 _SETTLE_S = 2.0
@@ -196,13 +197,9 @@
         + summary.false_not_run
     )
     is_on_time = summary.convergence_s <= _CONVERGENCE_LIMIT_S
-    return (
-        summary.in_force
-        and summary.version == 2
-        and is_on_time
-        and summary.graceful_exit == 0
-        and not broken
-    )
+    is_in_force = summary.in_force and summary.version == 2
+    is_graceful = summary.graceful_exit == 0
+    return is_in_force and is_on_time and is_graceful and not broken
 
 
 def main(arguments: Sequence[str] | None = None) -> int:
--- a/src/ragwortstand/tools/fleet.py
+++ b/src/ragwortstand/tools/fleet.py
@@ -3,113 +3,28 @@
 For tests, the demo and experiments; a daemon itself starts no process.
 """
 
-import contextlib
 import json
 import pathlib
 import re
-import signal
-import subprocess
-import sys
-import time
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from typing import Any
 
 import httpcore
 import msgspec
 
-from ragwortstand.exceptions import RagwortstandError
 from ragwortstand.operators.client import AdminClient
 from ragwortstand.tools.deployment import Host
+from ragwortstand.tools.processes import (
+    LOOPBACK,
+    LinkProcess,
+    Process,
+    post,
+    wait_until,
+)
 from ragwortstand.tools.standin_backend import Behaviour
-from ragwortstand.tools.standin_link import LinkMode, LinkState
 from ragwortstand.tools.standin_platform import Faults, Tally
 
 TOKEN = 'loopback-operators-token'
-_START_TIMEOUT_S = 20.0
-_STOP_TIMEOUT_S = 30.0
-_POLL_S = 0.02
-_LOOPBACK = '127.0.0.1'
-
-
-class FleetError(RagwortstandError):
-    """A process of the fleet did not do what was asked."""
-
-
-class Process:
-    """One process of the fleet, with its output in a file.
-
-    :param module: Python module to run.
-    :param arguments: command line.
-    :param output: file for standard output and standard error.
-    """
-
-    def __init__(
-        self,
-        module: str,
-        arguments: list[str],
-        output: pathlib.Path,
-    ) -> None:
-        """Start the process."""
-        self.output = output
-        self._skip_bytes = output.stat().st_size if output.exists() else 0
-        with output.open('ab') as stream:
-            self._popen = subprocess.Popen(
-                [sys.executable, '-m', module, *arguments],
-                stdin=subprocess.DEVNULL,
-                stdout=stream,
-                stderr=subprocess.STDOUT,
-            )
-
-    @property
-    def is_running(self) -> bool:
-        """Return whether the process has not ended."""
-        return self._popen.poll() is None
-
-    @property
-    def pid(self) -> int:
-        """Return the process id."""
-        return self._popen.pid
-
-    def first_line(self, contains: str) -> dict[str, Any]:
-        """Return the first JSON line of this start that contains a text."""
-        give_up_s = time.monotonic() + _START_TIMEOUT_S
-        while time.monotonic() < give_up_s:
-            fresh = self.output.read_bytes()[self._skip_bytes :]
-            for line in fresh.splitlines(keepends=True):
-                if contains.encode() in line and line.endswith(b'\n'):
-                    found: dict[str, Any] = json.loads(line)
-                    return found
-            if not self.is_running:
-                break
-            time.sleep(_POLL_S)
-        text = self.output.read_text(errors='replace')[-2000:]
-        raise FleetError(f'{self.output.name} did not start: {text}')
-
-    def kill(self) -> None:
-        """End the process without notice."""
-        self._popen.kill()
-        self._popen.wait()
-
-    def stop(self, timeout_s: float = _STOP_TIMEOUT_S) -> int:
-        """Ask the process to stop and return its exit code."""
-        self._popen.terminate()
-        return self.wait(timeout_s)
-
-    def ask_to_stop(self) -> None:
-        """Send SIGTERM without waiting."""
-        self._popen.terminate()
-
-    def wait(self, timeout_s: float = _STOP_TIMEOUT_S) -> int:
-        """Wait for the end and return the exit code."""
-        return self._popen.wait(timeout_s)
-
-    def pause(self) -> None:
-        """Freeze the process."""
-        self._popen.send_signal(signal.SIGSTOP)
-
-    def resume(self) -> None:
-        """Let a frozen process go on."""
-        self._popen.send_signal(signal.SIGCONT)
 
 
 class Node:
@@ -127,47 +42,28 @@
         self.admin_port = 0
         self.peer_address = ''
         self.server_port = 0
-        self.link: 'LinkProcess | None' = None
+        self.link: LinkProcess | None = None
 
     @property
     def url(self) -> str:
         """Return the URL for callers."""
-        return f'http://{_LOOPBACK}:{self.callers_port}'
+        return f'http://{LOOPBACK}:{self.callers_port}'
 
     @property
     def admin_url(self) -> str:
         """Return the URL for operators."""
-        return f'http://{_LOOPBACK}:{self.admin_port}'
+        return f'http://{LOOPBACK}:{self.admin_port}'
 
     @property
     def server_url(self) -> str:
         """Return the URL of the backend server itself."""
-        return f'http://{_LOOPBACK}:{self.server_port}'
+        return f'http://{LOOPBACK}:{self.server_port}'
 
     def admin(self) -> AdminClient:
         """Return a client of this daemon's admin side."""
         return AdminClient([self.admin_url], TOKEN)
 
 
-class LinkProcess:
-    """A running TCP relay.
-
-    :param process: its process.
-    """
-
-    def __init__(self, process: Process) -> None:
-        """Wait for its ports."""
-        self.process = process
-        ports = process.first_line('admin_port')
-        self.port: int = ports['port']
-        self._admin_url = f'http://{_LOOPBACK}:{ports["admin_port"]}'
-
-    def set(self, mode: LinkMode, delay_s: float = 0.0) -> None:
-        """Change what the relay does."""
-        state = LinkState(mode=mode, delay_s=delay_s)
-        post(f'{self._admin_url}/state', msgspec.json.encode(state))
-
-
 class Fleet:
     """A platform, backend servers and daemons as separate processes.
 
@@ -231,7 +127,7 @@
     def put_link_before_platform(self) -> LinkProcess:
         """Start a relay through which daemons reach the platform."""
         self._platform_relay = self.start_link(
-            'platform', f'{_LOOPBACK}:{self._platform_port}'
+            'platform', f'{LOOPBACK}:{self._platform_port}'
         )
         return self._platform_relay
 
@@ -249,7 +145,7 @@
         path = self.folder / f'{node.host.name}.settings.json'
         path.write_text(json.dumps(self._settings(node)))
         node.daemon = Process(
-            'ragwortstand.daemon',
+            'ragwortstand.daemon_cli',
             ['--settings', str(path)],
             self.log_path(node),
         )
@@ -300,12 +196,12 @@
 
     def set_faults(self, faults: Faults) -> None:
         """Change the faults of the platform's stand-in."""
-        url = f'http://{_LOOPBACK}:{self._platform_port}/faults'
+        url = f'http://{LOOPBACK}:{self._platform_port}/faults'
         post(url, msgspec.json.encode(faults))
 
     def tally(self) -> Tally:
         """Return the calls that the platform's stand-in counted."""
-        url = f'http://{_LOOPBACK}:{self._platform_port}/tally'
+        url = f'http://{LOOPBACK}:{self._platform_port}/tally'
         answer = httpcore.request('GET', url)
         return msgspec.json.decode(answer.content, type=Tally)
 
@@ -406,7 +302,7 @@
             'admin': {'port': node.admin_port, 'token': TOKEN},
             'peers': {'port': peer_port},
             'platform': {
-                'url': f'http://{_LOOPBACK}:{platform_port}',
+                'url': f'http://{LOOPBACK}:{platform_port}',
                 'region': self.store_region,
             },
         }
@@ -414,37 +310,6 @@
         return settings
 
 
-def post(url: str, body: bytes) -> None:
-    """Send a body to a stand-in.
-
-    :raises FleetError: when it does not answer with success.
-    """
-    answer = httpcore.request('POST', url, content=body)
-    if answer.status >= 300:
-        raise FleetError(f'{url} answered {answer.status}')
-
-
-def wait_until(
-    condition: Callable[[], bool],
-    timeout_s: float,
-    what: str,
-) -> float:
-    """Wait for a condition and return the time it took.
-
-    :param condition: what to wait for.
-    :param timeout_s: when to give up.
-    :param what: name of the condition.
-    :raises FleetError: when it does not hold in time.
-    """
-    started_s = time.monotonic()
-    while time.monotonic() - started_s < timeout_s:
-        with contextlib.suppress(RagwortstandError):
-            if condition():
-                return time.monotonic() - started_s
-        time.sleep(_POLL_S)
-    raise FleetError(f'no {what} within {timeout_s} s')
-
-
 def _sent_bytes(metrics: str, scopes: tuple[str, ...]) -> Iterator[float]:
     pattern = (
         r'ragwort_control_bytes_total\{direction="sent",link="(\w+)",'
--- a/src/ragwortstand/tools/load.py
+++ b/src/ragwortstand/tools/load.py
@@ -9,13 +9,12 @@
 from urllib.parse import urlsplit
 
 import anyio
-import anyio.abc
 import msgspec
 
+from ragwortstand.backend_servers.clients import HttptoolsConnection
 from ragwortstand.backend_servers.connections import (
     ConnectionPool,
     Endpoint,
-    HttptoolsConnection,
     WireRequest,
 )
 from ragwortstand.exceptions import BackendServerError
@@ -152,7 +151,7 @@
             target_s=stream.target_s,
         )
         self.records.append(record)
-        body = planned.tag.encode() if stream.method != 'GET' else b''
+        body = b'' if stream.method == 'GET' else planned.tag.encode()
         request = _wire_request(planned, body)
         for _ in range(stream.resends + 1):
             record.sent += 1
@@ -193,7 +192,7 @@
     :param name: prefix of all tags.
     """
     rng = random.Random(plan.seed)
-    planned = []
+    planned: list[_Planned] = []
     for number, stream in enumerate(plan.streams):
         end_s = stream.end_s or plan.duration_s
         at_s = stream.start_s + rng.expovariate(stream.rate_per_s)
--- a/src/ragwortstand/tools/standin_backend.py
+++ b/src/ragwortstand/tools/standin_backend.py
@@ -11,10 +11,9 @@
 import random
 import time
 from collections.abc import Awaitable, Callable
-from typing import Any, TextIO
+from typing import Any, TextIO, cast
 
 import anyio
-import anyio.abc
 import httpcore
 import msgspec
 
@@ -85,7 +84,7 @@
     :param body: body of the request.
     :param size_bytes: size of the answer.
     """
-    digest = hashlib.sha256(tag.encode() + b'\0' + body).hexdigest()
+    digest = hashlib.sha256(f'{tag}\0'.encode() + body).hexdigest()
     repeats = size_bytes // len(digest) + 1
     return (digest * repeats)[:size_bytes].encode()
 
@@ -250,26 +249,26 @@
     """Take the service time; return whether the caller stayed."""
     if duration_s <= 0:
         return True
-    is_gone = False
-    async with anyio.create_task_group() as tasks:
+    gone = anyio.Event()
 
-        async def watch() -> None:
-            nonlocal is_gone
-            message = await receive()
-            is_gone = message['type'] == 'http.disconnect'
-            tasks.cancel_scope.cancel()
+    async def watch() -> None:
+        message = await receive()
+        if message['type'] == 'http.disconnect':
+            gone.set()
 
+    async with anyio.create_task_group() as tasks:
         tasks.start_soon(watch)
-        await anyio.sleep(duration_s)
+        with anyio.move_on_after(duration_s):
+            await gone.wait()
         tasks.cancel_scope.cancel()
-    return not is_gone
+    return not gone.is_set()
 
 
 async def _body(receive: Receive) -> bytes:
     body = b''
     while True:
         message = await receive()
-        body += message.get('body', b'')
+        body += cast(bytes, message.get('body', b''))
         if not message.get('more_body', False):
             return body
 
--- a/src/ragwortstand/tools/standin_link.py
+++ b/src/ragwortstand/tools/standin_link.py
@@ -1,11 +1,12 @@
 """ragwortstand.tools.standin_link: a TCP relay with delay, cut and freeze."""
 
 import enum
-from collections import deque
+import math
+from dataclasses import dataclass
 
 import anyio
-import anyio.abc
 import msgspec
+from anyio.abc import SocketStream
 from starlette.applications import Starlette
 from starlette.requests import Request
 from starlette.responses import Response
@@ -58,7 +59,12 @@
             ],
         )
 
-    async def handle(self, caller: anyio.abc.SocketStream) -> None:
+    @property
+    def delay_s(self) -> float:
+        """Return the delay in each direction."""
+        return self._state.delay_s
+
+    async def handle(self, caller: SocketStream) -> None:
         """Relay one connection until either end closes it."""
         if self._state.mode is LinkMode.CUT:
             await caller.aclose()
@@ -74,7 +80,7 @@
 
     async def _relay(
         self,
-        caller: anyio.abc.SocketStream,
+        caller: SocketStream,
         connection: '_Connection',
     ) -> None:
         try:
@@ -83,47 +89,10 @@
             return
         async with target, anyio.create_task_group() as tasks:
             connection.scope = tasks.cancel_scope
-            tasks.start_soon(self._pump, caller, target, connection, tasks)
-            tasks.start_soon(self._pump, target, caller, connection, tasks)
-
-    async def _pump(
-        self,
-        source: anyio.abc.SocketStream,
-        sink: anyio.abc.SocketStream,
-        connection: '_Connection',
-        tasks: anyio.abc.TaskGroup,
-    ) -> None:
-        """Copy one direction, each chunk after the delay."""
-        pending: deque[tuple[float, bytes]] = deque()
-        arrived = anyio.Event()
-
-        async def deliver() -> None:
-            nonlocal arrived
-            while True:
-                while not pending:
-                    arrived = anyio.Event()
-                    await arrived.wait()
-                due_s, chunk = pending.popleft()
-                await anyio.sleep_until(due_s)
-                if connection.is_frozen:
-                    await anyio.sleep_forever()
-                if not chunk:
-                    tasks.cancel_scope.cancel()
-                    return
-                self.bytes_passed += len(chunk)
-                try:
-                    await sink.send(chunk)
-                except (anyio.BrokenResourceError, anyio.ClosedResourceError):
-                    tasks.cancel_scope.cancel()
-
-        tasks.start_soon(deliver)
-        while True:
-            chunk = await _receive(source)
-            due_s = anyio.current_time() + self._state.delay_s
-            pending.append((due_s, chunk))
-            arrived.set()
-            if not chunk:
-                return
+            for source, sink in ((caller, target), (target, caller)):
+                direction = _Direction(source, sink, connection, self)
+                tasks.start_soon(direction.read)
+                tasks.start_soon(direction.deliver, tasks.cancel_scope)
 
     async def _set_state(self, request: Request) -> Response:
         body = await request.body()
@@ -147,7 +116,59 @@
         self.is_frozen = False
 
 
-async def _receive(source: anyio.abc.SocketStream) -> bytes:
+class _Direction:
+    """One direction of a connection; each chunk goes on after the delay."""
+
+    def __init__(
+        self,
+        source: SocketStream,
+        sink: SocketStream,
+        connection: _Connection,
+        link: LinkStandin,
+    ) -> None:
+        self._source = source
+        self._sink = sink
+        self._connection = connection
+        self._link = link
+        feed, drain = anyio.create_memory_object_stream[_Chunk](math.inf)
+        self._feed = feed
+        self._drain = drain
+
+    async def read(self) -> None:
+        """Note each chunk with the time when it is due."""
+        while True:
+            content = await _receive(self._source)
+            due_s = anyio.current_time() + self._link.delay_s
+            self._feed.send_nowait(_Chunk(due_s, content))
+            if not content:
+                return
+
+    async def deliver(self, scope: anyio.CancelScope) -> None:
+        """Pass chunks on when they are due; end the connection with them.
+
+        :param scope: scope of the whole connection.
+        """
+        async for chunk in self._drain:
+            await anyio.sleep_until(chunk.due_s)
+            if self._connection.is_frozen:
+                await anyio.sleep_forever()
+            if not chunk.content:
+                break
+            self._link.bytes_passed += len(chunk.content)
+            try:
+                await self._sink.send(chunk.content)
+            except (anyio.BrokenResourceError, anyio.ClosedResourceError):
+                break
+        scope.cancel()
+
+
+@dataclass(frozen=True, slots=True)
+class _Chunk:
+    due_s: float
+    content: bytes
+
+
+async def _receive(source: SocketStream) -> bytes:
     try:
         return await source.receive(_CHUNK_BYTES)
     except (
--- a/src/ragwortstand/validation.py
+++ b/src/ragwortstand/validation.py
@@ -23,7 +23,7 @@
         f'[{step}]' if isinstance(step, int) else f'.{step}'
         for step in location
     ]
-    return '${0}'.format(''.join(steps))
+    return ''.join(('$', *steps))
 
 
 def faults_of(error: pydantic.ValidationError) -> tuple[Fault, ...]:
