--- /dev/null
+++ b/features/steps/fleet_steps.py
@@ -0,0 +1,257 @@
+"""Steps that start a fleet and break parts of it."""
+
+import time
+
+from behave import given, then, when
+
+from features.support import (
+    CLUSTER,
+    REGIONS,
+    host_of,
+    make_hosts,
+    mesh_with_deadline,
+    put_in_force,
+)
+from ragwortstand.ids import SubmissionId, Version
+from ragwortstand.peers.messages import MemberState
+from ragwortstand.tools.fleet import Fleet
+from ragwortstand.tools.processes import wait_until
+from ragwortstand.tools.standin_backend import Behaviour
+from ragwortstand.tools.standin_link import LinkMode
+from ragwortstand.tools.standin_platform import Faults
+
+_FAULTS = {
+    'out': Faults(is_out=True),
+    'silent': Faults(is_silent=True),
+    'slow': Faults(delay_s=1.0),
+    'back': Faults(),
+}
+
+
+@given('settings "{name}" of {number:g} s')
+def set_window(context, name, number):
+    """Change one duration of all daemons' settings."""
+    part, _, field = name.partition('.')
+    overrides = getattr(context, 'overrides', {})
+    overrides.setdefault(part, {})[field] = number
+    context.overrides = overrides
+
+
+@given('a fleet of {count:d} hosts in {regions:d} regions')
+def start_fleet(context, count, regions):
+    """Start the platform, backend servers and daemons."""
+    prepare_fleet(context, count, regions)
+    context.fleet.start()
+    context.fleet.await_members(count)
+
+
+@given('a fleet of {count:d} hosts in {regions:d} regions behind relays')
+def start_fleet_behind_relays(context, count, regions):
+    """Start a fleet whose daemons reach peers and servers over relays."""
+    prepare_fleet(context, count, regions)
+    fleet = context.fleet
+    fleet.start_platform()
+    fleet.put_link_before_platform()
+    for node in fleet.nodes.values():
+        fleet.put_link_before_peers(node)
+        fleet.put_link_before_server(node)
+        fleet.spawn_daemon(node)
+    for node in fleet.nodes.values():
+        fleet.await_daemon(node)
+        fleet.start_server(node)
+    fleet.await_members(count)
+
+
+def prepare_fleet(context, count, regions):
+    """Prepare a fleet without starting it."""
+    context.fleet = Fleet(
+        make_hosts(count, regions),
+        context.folder,
+        CLUSTER,
+        REGIONS[0],
+        getattr(context, 'overrides', None),
+    )
+
+
+@given('version {version:d} is in force')
+@when('an operator puts version {version:d} in force')
+def put_version(context, version):
+    """Submit a version and wait for it."""
+    put_in_force(context.fleet, version)
+
+
+@when('the daemon of host {number:d} is killed')
+def kill_daemon(context, number):
+    """End a daemon without notice."""
+    host_of(context, number).daemon.kill()
+
+
+@when('the daemons of hosts {first:d} to {last:d} are killed')
+def kill_daemons(context, first, last):
+    """End several daemons at once, without notice."""
+    for number in range(first, last + 1):
+        host_of(context, number).daemon.kill()
+
+
+@when('the daemon of host {number:d} is restarted')
+def restart_daemon(context, number):
+    """Start a daemon again on its ports."""
+    context.fleet.start_daemon(host_of(context, number))
+
+
+@when('the daemons of hosts {first:d} to {last:d} are restarted')
+def restart_daemons(context, first, last):
+    """Start several daemons again at once."""
+    nodes = [host_of(context, one) for one in range(first, last + 1)]
+    for node in nodes:
+        context.fleet.spawn_daemon(node)
+    for node in nodes:
+        context.fleet.await_daemon(node)
+
+
+@when('the daemon of host {number:d} is asked to stop')
+def ask_to_stop(context, number):
+    """Send SIGTERM to a daemon."""
+    host_of(context, number).daemon.ask_to_stop()
+
+
+@when('the daemon of host {number:d} is paused for {duration:g} s')
+def pause_daemon(context, number, duration):
+    """Freeze a daemon for a while."""
+    daemon = host_of(context, number).daemon
+    daemon.pause()
+    time.sleep(duration)
+    daemon.resume()
+
+
+@when('the daemon of host {number:d} is frozen')
+def freeze_daemon(context, number):
+    """Freeze a daemon."""
+    host_of(context, number).daemon.pause()
+
+
+@when('host {number:d} is lost')
+def lose_host(context, number):
+    """End a daemon and its backend server without notice."""
+    node = host_of(context, number)
+    node.daemon.kill()
+    node.server.kill()
+
+
+@when('the backend server of host {number:d} is killed')
+def kill_server(context, number):
+    """End a backend server without notice."""
+    host_of(context, number).server.kill()
+
+
+@when('the backend server of host {number:d} is restarted')
+def restart_server(context, number):
+    """Start a backend server again on its port."""
+    context.fleet.start_server(host_of(context, number))
+
+
+@when('the backend server of host {number:d} drains')
+def drain_server(context, number):
+    """Let a backend server ask for no more work."""
+    node = host_of(context, number)
+    context.fleet.behave(node, Behaviour(slots=12, is_draining=True))
+
+
+@when('the backend server of host {number:d} takes {service_ms:d} ms')
+def slow_server(context, number, service_ms):
+    """Change the service time of a backend server."""
+    behaviour = Behaviour(slots=12, service_time_s=service_ms / 1000)
+    context.fleet.behave(host_of(context, number), behaviour)
+
+
+@given('the platform is {fault}')
+@when('the platform is {fault}')
+def set_fault(context, fault):
+    """Set a fault of the platform's stand-in, or none."""
+    context.fleet.set_faults(_FAULTS[fault])
+
+
+@when('the platform loses the answer of the next write')
+def lose_answer(context):
+    """Let the next write take effect without an answer."""
+    context.fleet.set_faults(Faults(lose_answers=1))
+
+
+@when('connections to the {side} of host {number:d} go silent')
+def freeze_link(context, side, number):
+    """Freeze the open connections; new ones work."""
+    node = host_of(context, number)
+    link = node.link if side == 'daemon' else node.server_link
+    link.set(LinkMode.FREEZE)
+    link.set(LinkMode.PASS)
+
+
+@when('the daemon of host {number:d} is cut off from its peers')
+def cut_link(context, number):
+    """Let no connection reach a daemon's peer side."""
+    host_of(context, number).link.set(LinkMode.CUT)
+
+
+@when('{duration:g} s pass')
+def wait_a_while(context, duration):
+    """Wait."""
+    time.sleep(duration)
+
+
+@then('the daemon of host {number:d} ends with exit code {code:d}')
+def daemon_ends(context, number, code):
+    """A daemon that was asked to stop has ended in order."""
+    assert host_of(context, number).daemon.wait(20) == code
+
+
+@then('host {number:d} is {state} for all others within {limit:g} s')
+def state_everywhere(context, number, state, limit):
+    """All other daemons see a member in a state in time."""
+    name = host_of(context, number).host.name
+    expected = MemberState[state.upper()].name.lower()
+
+    def is_seen(node):
+        with node.admin() as client:
+            members = client.members().members
+        return any(
+            one.host == name and one.state == expected for one in members
+        )
+
+    others = [one for one in context.fleet.running() if one.host.name != name]
+    wait_until(lambda: all(map(is_seen, others)), limit, f'{name} {state}')
+
+
+@then('no daemon has taken a living one for dead')
+def no_false_death(context):
+    """No event tells of a dead member."""
+    for node in context.fleet.nodes.values():
+        text = context.fleet.log_path(node).read_text()
+        assert '"state":"dead"' not in text, node.host.name
+
+
+@then('all {count:d} hosts are ready within {limit:g} s')
+def all_ready(context, count, limit):
+    """Every daemon sees every backend server ready."""
+    context.fleet.await_members(count, limit)
+
+
+@when('operators {first} and {second} submit at the same time')
+def race(context, first, second):
+    """Two operators submit on the same base."""
+    context.outcomes = {}
+    with context.fleet.admin() as client:
+        base = client.status().version
+        for number, name in enumerate((first, second)):
+            content = mesh_with_deadline(30 + number).to_json().encode()
+            context.outcomes[name] = client.submit(
+                content, SubmissionId(name), Version(base), name
+            )
+
+
+@then('{winner} is accepted and {loser} is told that {winner_again} won')
+def one_winner(context, winner, loser, winner_again):
+    """The race has one winner and one clear refusal."""
+    assert context.outcomes[winner].outcome == 'accepted'
+    refusal = context.outcomes[loser]
+    assert refusal.outcome == 'conflict', refusal
+    assert refusal.record.author == winner_again
--- /dev/null
+++ b/features/steps/load_steps.py
@@ -0,0 +1,200 @@
+"""Steps that send load and compare what callers and servers saw."""
+
+import threading
+import time
+
+import httpcore
+from behave import given, then, when
+
+from features.support import host_of
+from ragwortstand.tools.audit import audit, rank_report, read_journals
+from ragwortstand.tools.background import BackgroundLoad
+from ragwortstand.tools.load import Plan, Stream
+
+_SEED = 5
+_STREAMS = {
+    'urgent': {'rank': 'urgent', 'method': 'GET', 'path': '/urgent/a'},
+    'middle': {
+        'rank': 'middle',
+        'method': 'GET',
+        'path': '/middle/a',
+        'target_s': 1.0,
+        'timeout_s': 3.0,
+    },
+    'bulk': {
+        'rank': 'bulk',
+        'method': 'GET',
+        'path': '/bulk/a',
+        'target_s': 5.0,
+        'timeout_s': 30.0,
+    },
+    'filing': {
+        'rank': 'filing',
+        'method': 'POST',
+        'path': '/filings',
+        'is_keyed': True,
+        'resends': 6,
+        'timeout_s': 3.0,
+    },
+    'keyless filing': {
+        'rank': 'keyless filing',
+        'method': 'POST',
+        'path': '/filings',
+        'timeout_s': 3.0,
+    },
+}
+
+
+@given('{rate:d} {kind} requests a second for {duration:g} s')
+@when('{rate:d} {kind} requests a second start for {duration:g} s')
+def start_load(context, rate, kind, duration):
+    """Start load in the background, to random daemons."""
+    stream = Stream(rate_per_s=rate, **_STREAMS[kind])
+    urls = [node.url for node in context.fleet.running()]
+    number = len(context.loads)
+    plan = Plan(duration, (stream,), _SEED + number)
+    load = BackgroundLoad(urls, plan, f'load{number}')
+    context.loads.append(load)
+    load.start()
+
+
+@when('all load has ended')
+def finish_load(context):
+    """Wait for the last outcome of all load."""
+    for load in context.loads:
+        context.records.extend(load.finish())
+    time.sleep(0.3)
+
+
+@then('no promise was broken')
+def promises_kept(context):
+    """Nothing was lost, doubled, mixed up or falsely refused."""
+    found = _audit(context)
+    assert found.sent > 0
+    assert found.is_clean, found
+
+
+@then('nothing ran twice and every answer fits')
+def nothing_doubled(context):
+    """Runs and answers fit, also when daemons died with callers on them."""
+    found = _audit(context)
+    assert found.sent > 0
+    assert not found.doubled, found
+    assert not found.mismatched, found
+    assert not found.false_not_run, found
+
+
+@then('every request was answered')
+def all_answered(context):
+    """No caller was left without a final answer."""
+    found = _audit(context)
+    assert found.answered == found.sent, found
+
+
+@then('at least {share:g}% of {rank} requests were served in target')
+def served_in_target(context, share, rank):
+    """A rank got its service."""
+    records = [one for one in context.records if one.rank == rank]
+    found = rank_report(records)
+    print(rank, found)
+    assert found.sent
+    assert found.in_target >= found.sent * share / 100, found
+
+
+@then('at least {share:g}% of {rank} requests were served')
+def served(context, share, rank):
+    """A rank got its answers."""
+    records = [one for one in context.records if one.rank == rank]
+    found = rank_report(records)
+    print(rank, found)
+    assert found.sent
+    assert found.served >= found.sent * share / 100, found
+
+
+@then('at least {rate:d} {rank} requests a second were served')
+def served_rate(context, rate, rank):
+    """A rank kept a rate of service."""
+    records = [one for one in context.records if one.rank == rank]
+    found = rank_report(records)
+    duration_s = max(one.planned_s for one in records)
+    print(rank, found, duration_s)
+    assert found.served >= rate * duration_s, found
+
+
+@then('the backend server of host {number:d} started nothing after {delay:g} s')
+def no_new_work(context, number, delay):
+    """A leaving backend server got no new work."""
+    node = host_of(context, number)
+    lines = read_journals([context.fleet.journal_path(node)])
+    late = [
+        line for line in lines if line.unix_s > context.moment_unix_s + delay
+    ]
+    assert not [line for line in late if line.entry == 'started'], late
+
+
+@when('this moment is marked')
+def mark_moment(context):
+    """Note the time."""
+    context.moment_unix_s = time.time()
+
+
+@when('a caller sends "{method} {path}" with {size:d} bytes to host {number:d}')
+def send_one(context, method, path, size, number):
+    """Send one request and keep the answer."""
+    node = host_of(context, number)
+    context.answer = httpcore.request(
+        method, node.url + path, content=b'x' * size
+    )
+
+
+@then('the answer is {status:d} with verdict {verdict} and cause {cause}')
+def answer_is(context, status, verdict, cause):
+    """The answer has a status, a verdict and a cause."""
+    headers = dict(context.answer.headers)
+    found = (
+        context.answer.status,
+        headers[b'ragwort-verdict'].decode(),
+        headers.get(b'ragwort-cause', b'none').decode(),
+    )
+    assert found == (status, verdict, cause), found
+
+
+def _audit(context):
+    journal = read_journals(context.fleet.journals())
+    return audit(context.records, journal)
+
+
+@when('a caller sends a crashing request {count:d} times')
+def send_poison(context, count):
+    """Send the same crashing request to one daemon after another."""
+    _send_crashing(context, count, 0)
+
+
+@when('{callers:d} callers send a crashing request {count:d} times')
+def send_poison_twice(context, callers, count):
+    """Several callers send the same crashing request at once."""
+    threads = [
+        threading.Thread(target=_send_crashing, args=(context, count, shift))
+        for shift in range(callers)
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+
+
+@then('at most {count:d} backend servers have crashed')
+def few_crashes(context, count):
+    """Count the backend servers that ended."""
+    nodes = context.fleet.nodes.values()
+    crashed = [node for node in nodes if not node.server.is_running]
+    assert 1 <= len(crashed) <= count, [one.host.name for one in crashed]
+
+
+def _send_crashing(context, count, shift):
+    nodes = list(context.fleet.nodes.values())
+    for number in range(count):
+        node = nodes[(number + shift) % len(nodes)]
+        httpcore.request(
+            'GET', f'{node.url}/urgent/poison', headers={'standin-crash': '1'}
+        )
--- a/src/ragwortstand/backend_servers/server.py
+++ b/src/ragwortstand/backend_servers/server.py
@@ -80,6 +80,7 @@
     is_draining: bool = False
 
 
+ClaimStep: TypeAlias = Callable[[], Awaitable[Outcome | None]]
 CrashListener: TypeAlias = Callable[
     [tuple[Fingerprint, ...]],
     Awaitable[None],
@@ -178,10 +179,12 @@
         if is_silent and self.state is BackendState.READY:
             self._set_state(BackendState.DOWN)
 
-    async def run(self, call: Call) -> Outcome:
+    async def run(self, call: Call, claim: ClaimStep | None = None) -> Outcome:
         """Run a request here, by rank and within its deadline.
 
         :param call: the request.
+        :param claim: awaited once the request has a slot; an outcome that it
+            returns takes the place of the run.
         :returns: its outcome; a refusal means that it did not run.
         """
         refusal = self._refusal(call)
@@ -189,7 +192,7 @@
             return refusal
         call.is_dispatched = False
         with anyio.CancelScope(deadline=call.deadline_s):
-            return await self._queue(call)
+            return await self._queue(call, claim or _no_claim)
         if call.is_dispatched:
             return Unknown(Cause.DEADLINE)
         return Refused(Cause.DEADLINE)
@@ -211,24 +214,30 @@
             return Refused(Cause.QUARANTINED, retry_after_s=600)
         return None
 
-    async def _queue(self, call: Call) -> Outcome:
+    async def _queue(self, call: Call, claim: ClaimStep) -> Outcome:
         ticket = self._admission.enter(
             call.rank.name, call.deadline_s, anyio.current_time()
         )
         if isinstance(ticket, Refused):
             return ticket
         try:
-            return await self._with_ticket(call, ticket)
+            return await self._with_ticket(call, ticket, claim)
         finally:
             self._admission.leave(ticket, anyio.current_time())
 
-    async def _with_ticket(self, call: Call, ticket: Ticket) -> Outcome:
+    async def _with_ticket(
+        self,
+        call: Call,
+        ticket: Ticket,
+        claim: ClaimStep,
+    ) -> Outcome:
         if ticket.granted_at_s is None:
             await ticket.granted.wait()
         if not self._is_suspect(call):
-            return await self._exchange(call)
+            return await claim() or await self._exchange(call)
         async with self._suspect_turn:
-            return self._quarantine(call) or await self._exchange(call)
+            refusal = self._quarantine(call) or await claim()
+            return refusal or await self._exchange(call)
 
     def _is_suspect(self, call: Call) -> bool:
         if not self.crash_record:
@@ -349,5 +358,9 @@
     """Do nothing when the state changes."""
 
 
+async def _no_claim() -> None:
+    """Let a request run without a claim."""
+
+
 async def _no_crash_listener(suspects: tuple[Fingerprint, ...]) -> None:
     """Do nothing after a crash."""
--- a/src/ragwortstand/callers/__init__.py
+++ b/src/ragwortstand/callers/__init__.py
@@ -2,5 +2,6 @@
 
 from ragwortstand.callers.dispatch import Dispatcher
 from ragwortstand.callers.front import Front
+from ragwortstand.callers.once import OnceRunner
 
-__all__ = ('Dispatcher', 'Front')
+__all__ = ('Dispatcher', 'Front', 'OnceRunner')
--- a/src/ragwortstand/callers/dispatch.py
+++ b/src/ragwortstand/callers/dispatch.py
@@ -1,14 +1,17 @@
 """ragwortstand.callers.dispatch: sends a request to a backend server."""
 
+from collections.abc import Callable
+
 import anyio
 
-from ragwortstand.backend_servers import BackendServer
+from ragwortstand.backend_servers import Load
 from ragwortstand.calls import Call
 from ragwortstand.events import Event, EventLog
 from ragwortstand.ids import HostId, ServiceName
 from ragwortstand.metrics import Metrics
 from ragwortstand.peers.choice import Choice
-from ragwortstand.peers.forwarding import Attempt, Forwarder
+from ragwortstand.peers.forwarding import Attempt, Forwarder, Runner
+from ragwortstand.peers.homes import Homes
 from ragwortstand.peers.members import Members
 from ragwortstand.peers.messages import Member
 from ragwortstand.peers.retries import RetryPolicy
@@ -28,7 +31,9 @@
     :param members: the list of members.
     :param choice: chooses among them.
     :param retries: decides on further attempts.
-    :param backend_server: the one beside this daemon.
+    :param homes: tells the home of each idempotency key.
+    :param runner: runs requests on the backend server of this host.
+    :param load: returns the load of that backend server.
     :param forwarder: hands requests to other daemons.
     :param metrics: counts retries.
     :param log: tells of retries.
@@ -39,7 +44,9 @@
         members: Members,
         choice: Choice,
         retries: RetryPolicy,
-        backend_server: BackendServer,
+        homes: Homes,
+        runner: Runner,
+        load: Callable[[float], Load],
         forwarder: Forwarder,
         metrics: Metrics,
         log: EventLog,
@@ -48,7 +55,9 @@
         self._members = members
         self._choice = choice
         self._retries = retries
-        self._backend_server = backend_server
+        self._homes = homes
+        self._runner = runner
+        self._load = load
         self._forwarder = forwarder
         self._metrics = metrics
         self._log = log
@@ -77,6 +86,8 @@
 
     def _choose(self, call: Call, tried: set[HostId]) -> Member | None:
         service = ServiceName(call.service.name)
+        if call.key and not call.is_idempotent:
+            return self._homes.home(service, call.key, tried)
         return self._choice.choose(
             self._members.offering(service),
             call.rank,
@@ -105,8 +116,8 @@
     async def _run(self, call: Call, member: Member) -> Attempt:
         if member.host != self._members.own.host:
             return await self._forwarder.forward(call, member)
-        outcome = await self._backend_server.run(call)
-        load = self._backend_server.load(anyio.current_time())
+        outcome = await self._runner.run(call)
+        load = self._load(anyio.current_time())
         return Attempt(outcome, load.busy)
 
     def _note_retry(
--- /dev/null
+++ b/src/ragwortstand/callers/once.py
@@ -0,0 +1,197 @@
+"""ragwortstand.callers.once: runs a keyed request at most once.
+
+The home of a key claims it in the platform's table just before the first
+byte goes to the backend server. While the table is out for everybody, a home
+that has been the only possible one for the whole window relies on its
+memory; all others answer that the request may have run.
+"""
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+from uuid import uuid4
+
+import anyio
+
+from ragwortstand.backend_servers import BackendServer
+from ragwortstand.calls import Call
+from ragwortstand.exceptions import PlatformError
+from ragwortstand.ids import HostId, ServiceName
+from ragwortstand.peers.homes import Homes
+from ragwortstand.platform.claims import Claim, ClaimTable, kept, replayed
+from ragwortstand.verdicts import (
+    Answered,
+    Cause,
+    Outcome,
+    Refused,
+    Unknown,
+)
+
+_MAX_ENTRIES = 20_000
+_NOT_HOME_RETRY_S = 0.5
+_EXPIRE_INTERVAL_S = 5.0
+
+
+@dataclass(slots=True, eq=False)
+class _Entry:
+    """Memory of one keyed request.
+
+    :param nonce: tells this claim from others; kept over repetitions.
+    :param at_s: time of the first attempt here.
+    :param outcome: its outcome, once there is one.
+    :param finished: set with the outcome.
+    :param has_run: whether the backend server may have seen the request.
+    :param is_claimed: whether the table may hold a claim of this daemon.
+    """
+
+    nonce: str
+    at_s: float
+    outcome: Outcome | None = None
+    finished: anyio.Event = field(default_factory=anyio.Event)
+    has_run: bool = False
+    is_claimed: bool = False
+
+
+class OnceRunner:
+    """Runs requests on the backend server; keyed ones at most once.
+
+    :param host: this daemon's host.
+    :param backend_server: the one beside this daemon.
+    :param claims: claims in the platform's table.
+    :param homes: tells the home of each key.
+    :param window_s: time within which callers repeat a request.
+    """
+
+    def __init__(
+        self,
+        host: HostId,
+        backend_server: BackendServer,
+        claims: ClaimTable,
+        homes: Homes,
+        window_s: float,
+    ) -> None:
+        """Start without memory."""
+        self._host = host
+        self._backend_server = backend_server
+        self._claims = claims
+        self._homes = homes
+        self._window_s = window_s
+        self._entries: OrderedDict[str, _Entry] = OrderedDict()
+
+    async def run(self, call: Call) -> Outcome:
+        """Return the outcome of a request, or of its first attempt.
+
+        :param call: the request.
+        """
+        if call.key is None or call.is_idempotent:
+            return await self._backend_server.run(call)
+        service = ServiceName(call.service.name)
+        name = f'{service}/{call.key}'
+        entry = self._entries.get(name)
+        if entry and (entry.has_run or not entry.finished.is_set()):
+            return await self._repeat(call, entry)
+        if not self._homes.is_home(service, call.key):
+            return Refused(Cause.NOT_HOME, _NOT_HOME_RETRY_S)
+        nonce = entry.nonce if entry else uuid4().hex
+        return await self._run_first(call, name, nonce)
+
+    async def expire(self) -> None:
+        """Forget old entries until cancelled."""
+        while True:
+            await anyio.sleep(_EXPIRE_INTERVAL_S)
+            self.forget_old(anyio.current_time())
+
+    def forget_old(self, now_s: float) -> None:
+        """Forget entries beyond the window, and delete their claims.
+
+        :param now_s: present time.
+        """
+        while self._entries:
+            name, entry = next(iter(self._entries.items()))
+            is_old = now_s - entry.at_s > self._window_s
+            is_crowded = len(self._entries) > _MAX_ENTRIES
+            is_busy = not entry.finished.is_set()
+            if is_busy or not (is_old or is_crowded):
+                return
+            self._entries.pop(name)
+            if entry.is_claimed:
+                self._claims.delete_behind(name)
+
+    async def _repeat(self, call: Call, entry: _Entry) -> Outcome:
+        """Wait for the first attempt and return its outcome."""
+        with anyio.CancelScope(deadline=call.deadline_s):
+            await entry.finished.wait()
+        if isinstance(entry.outcome, Answered | Refused):
+            return entry.outcome
+        return Unknown(Cause.ALREADY_CLAIMED)
+
+    async def _run_first(self, call: Call, name: str, nonce: str) -> Outcome:
+        entry = _Entry(nonce, anyio.current_time())
+        self._entries[name] = entry
+
+        async def claim() -> Outcome | None:
+            return await self._claim(call, name, entry)
+
+        try:
+            outcome = await self._backend_server.run(call, claim)
+            await self._publish(name, entry, outcome)
+        finally:
+            entry.has_run = entry.has_run or call.is_dispatched
+            entry.finished.set()
+        return outcome
+
+    async def _publish(
+        self,
+        name: str,
+        entry: _Entry,
+        outcome: Outcome,
+    ) -> None:
+        """Keep the outcome, and tell the table what became of the claim."""
+        entry.outcome = outcome
+        if isinstance(outcome, Answered):
+            entry.has_run = True
+            answer = kept(outcome)
+            claim = Claim(self._host, entry.nonce, answer)
+            self._claims.write_behind(name, claim)
+            entry.is_claimed = True
+        elif entry.is_claimed and isinstance(outcome, Refused):
+            entry.is_claimed = not await self._claims.release(name)
+
+    async def _claim(
+        self,
+        call: Call,
+        name: str,
+        entry: _Entry,
+    ) -> Outcome | None:
+        """Return None when this daemon may run the request now."""
+        assert call.key
+        service = ServiceName(call.service.name)
+        now_s = anyio.current_time()
+        if self._homes.is_in_doubt(service, call.key, now_s):
+            return Unknown(Cause.CLAIM_UNAVAILABLE)
+        try:
+            is_held = await self._claims.claim(
+                name, Claim(self._host, entry.nonce)
+            )
+            holder = None if is_held else await self._claims.find(name)
+        except PlatformError:
+            return self._without_store(call)
+        if is_held or (holder and holder.nonce == entry.nonce):
+            entry.is_claimed = True
+            return None
+        return _first_outcome(holder)
+
+    def _without_store(self, call: Call) -> Outcome | None:
+        assert call.key
+        now_s = anyio.current_time()
+        service = ServiceName(call.service.name)
+        is_out = self._homes.is_store_out_for_all(now_s)
+        if is_out and self._homes.is_only_home(service, call.key, now_s):
+            return None
+        return Unknown(Cause.CLAIM_UNAVAILABLE)
+
+
+def _first_outcome(claim: Claim | None) -> Outcome:
+    """Return the outcome of the attempt that holds the claim."""
+    if claim and claim.answer:
+        return replayed(claim.answer)
+    return Unknown(Cause.ALREADY_CLAIMED)
--- a/src/ragwortstand/daemon.py
+++ b/src/ragwortstand/daemon.py
@@ -8,11 +8,12 @@
 from anyio.abc import TaskGroup
 
 from ragwortstand.backend_servers import BackendServer, BackendState
-from ragwortstand.callers import Dispatcher, Front
+from ragwortstand.callers import Dispatcher, Front, OnceRunner
 from ragwortstand.events import Event, EventLog
 from ragwortstand.ids import (
     Fingerprint,
     HostId,
+    PeerAddress,
     RegionName,
     ZoneName,
 )
@@ -24,6 +25,7 @@
 from ragwortstand.peers.forwarding import ForwardedWork, Forwarder
 from ragwortstand.peers.gossip import Gossip
 from ragwortstand.peers.handlers import PeerHandlers
+from ragwortstand.peers.homes import Homes
 from ragwortstand.peers.joining import Joiner
 from ragwortstand.peers.links import MAX_OVERHEAD_BYTES, Links
 from ragwortstand.peers.listener import Listener
@@ -33,10 +35,16 @@
     Member,
     MemberState,
     Ping,
+    StoreView,
 )
 from ragwortstand.peers.retries import retries_for
 from ragwortstand.peers.scopes import LinkScopes
-from ragwortstand.platform import Acceptance, EntryPoints, PlatformClient
+from ragwortstand.platform import (
+    Acceptance,
+    ClaimTable,
+    EntryPoints,
+    PlatformClient,
+)
 from ragwortstand.servers import HttpServer, bind, http_server, port_of
 from ragwortstand.settings import DaemonSettings
 from ragwortstand.versions import Snapshot, VersionGate
@@ -133,7 +141,7 @@
         settings = self._settings
         own = Member(
             host=HostId(settings.host),
-            peer_address=self._listener.address,
+            peer_address=self._peer_address(),
             region=RegionName(settings.region),
             zone=ZoneName(settings.availability_zone),
             incarnation=int(time.time() * 1000),
@@ -166,10 +174,19 @@
             self._log,
             self._rng,
         )
+        self._homes = Homes(
+            self._members,
+            settings.platform.region,
+            settings.claims.window_s,
+        )
+        self._members.on_refute = self._on_refute
+        self._platform.on_failure = self._homes.note_outage
         self._gossip = Gossip(
             self._members,
             self._links,
             settings.membership,
+            self._homes,
+            self._store_view,
             lambda: self._gate.version,
             self._distributor.heard,
             self._rng,
@@ -182,6 +199,12 @@
             self._rng,
         )
 
+    def _peer_address(self) -> PeerAddress:
+        advertised = self._settings.peers.advertised
+        if advertised:
+            return PeerAddress(f'tcp://{advertised}')
+        return self._listener.address
+
     def _build_calls(self) -> None:
         settings = self._settings
         self._backend_server = BackendServer(settings, self._log)
@@ -189,11 +212,21 @@
         self._backend_server.on_crash = self._on_crash
         self._gate.subscribe(self._backend_server.configure)
         self._forwarder = Forwarder(self._links)
+        self._claims = ClaimTable(self._platform)
+        self._runner = OnceRunner(
+            self._members.own.host,
+            self._backend_server,
+            self._claims,
+            self._homes,
+            settings.claims.window_s,
+        )
         dispatcher = Dispatcher(
             self._members,
             choice_for(settings, self._members.own, self._rng),
             retries_for(settings),
-            self._backend_server,
+            self._homes,
+            self._runner,
+            self._backend_server.load,
             self._forwarder,
             self._metrics,
             self._log,
@@ -206,7 +239,8 @@
             self._log,
         )
         self._forwarded = ForwardedWork(
-            self._backend_server,
+            self._runner,
+            self._backend_server.load,
             self._snapshot,
             lambda: self._front.is_leaving,
         )
@@ -221,7 +255,7 @@
 
     def _build_admin(self) -> None:
         self._admin = Admin(
-            token=self._settings.admin.token,
+            settings=self._settings.admin,
             acceptance=self._acceptance,
             backend_server=self._backend_server,
             gate=self._gate,
@@ -244,6 +278,8 @@
             self._gossip.run,
             self._distributor.run,
             self._watch_links,
+            self._claims.run,
+            self._runner.expire,
             self._expire_backend_server,
         ):
             tasks.start_soon(self._supervise, task)
@@ -268,7 +304,9 @@
     async def _watch_links(self) -> None:
         while True:
             await anyio.sleep(_WATCH_LINKS_S)
-            await self._links.watch(Ping(self._gate.version))
+            await self._links.watch(
+                Ping(self._gate.version, self._store_view())
+            )
 
     async def _expire_backend_server(self) -> None:
         while True:
@@ -302,6 +340,7 @@
     def _on_backend_server(self) -> None:
         announcement = self._backend_server.announcement
         is_ready = self._backend_server.state is BackendState.READY
+        self._homes.note_ready(is_ready, anyio.current_time())
         self._members.update_own(
             service=announcement.service if announcement else None,
             slots=announcement.slots if announcement else 0,
@@ -309,6 +348,13 @@
         )
         self._spawn_spread()
 
+    def _store_view(self) -> StoreView:
+        now_s = anyio.current_time()
+        return self._homes.store_view(self._platform.is_reachable, now_s)
+
+    def _on_refute(self) -> None:
+        self._homes.note_doubt(anyio.current_time())
+
     def _spawn_spread(self) -> None:
         if self._tasks:
             self._tasks.start_soon(self._gossip.spread)
--- a/src/ragwortstand/daemon_cli.py
+++ b/src/ragwortstand/daemon_cli.py
@@ -16,12 +16,16 @@
 
 async def _run(settings: DaemonSettings) -> None:
     daemon = Daemon(settings, EliotLog(settings.host, sys.stdout))
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(_stop_on_signal, daemon)
+        await daemon.run()
+        tasks.cancel_scope.cancel()
+
+
+async def _stop_on_signal(daemon: Daemon) -> None:
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(daemon.run)
-            async for _ in signals:
-                daemon.stop()
-                break
+        async for _ in signals:
+            daemon.stop()
 
 
 def main(arguments: Sequence[str] | None = None) -> int:
--- a/src/ragwortstand/operators/admin.py
+++ b/src/ragwortstand/operators/admin.py
@@ -36,6 +36,7 @@
     SubmissionOutcome,
     Unavailable,
 )
+from ragwortstand.settings import AdminSettings
 from ragwortstand.versions import VersionGate
 
 _DEFAULT_HISTORY = 20
@@ -56,7 +57,7 @@
 class Admin:
     """The admin interface as an ASGI application in `app`.
 
-    :param token: bearer token that operators present.
+    :param settings: the bearer token, and the address of this host.
     :param acceptance: commits and reads versions.
     :param backend_server: the one beside this daemon.
     :param gate: holds the version in force.
@@ -70,7 +71,7 @@
 
     def __init__(
         self,
-        token: str,
+        settings: AdminSettings,
         acceptance: Acceptance,
         backend_server: BackendServer,
         gate: VersionGate,
@@ -81,7 +82,8 @@
         is_platform_reachable: Callable[[], bool],
     ) -> None:
         """Build the application."""
-        self._authorization = f'Bearer {token}'.encode()
+        self._authorization = f'Bearer {settings.token}'.encode()
+        self._address = settings.address
         self._acceptance = acceptance
         self._backend_server = backend_server
         self._gate = gate
@@ -190,7 +192,7 @@
         return Response(self._metrics.render(), media_type='text/plain')
 
     async def _announce(self, request: Request) -> Response:
-        if not request.client or not request.client.host.startswith(_LOOPBACK):
+        if not self._is_same_host(request):
             return _error(403, 'announcements come from the same host')
         try:
             announcement = msgspec.json.decode(
@@ -201,6 +203,10 @@
         self._backend_server.announce(announcement, anyio.current_time())
         return Response(status_code=204)
 
+    def _is_same_host(self, request: Request) -> bool:
+        address = request.client.host if request.client else ''
+        return address == self._address or address.startswith(_LOOPBACK)
+
     def _tell(
         self,
         outcome: SubmissionOutcome,
--- a/src/ragwortstand/operators/documents.py
+++ b/src/ragwortstand/operators/documents.py
@@ -103,7 +103,7 @@
     members: tuple[MemberReport, ...]
 
 
-class ErrorReport(msgspec.Struct, frozen=True):
+class ErrorReport(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Why the admin side refused a request."""
 
     problem: str
--- a/src/ragwortstand/peers/forwarding.py
+++ b/src/ragwortstand/peers/forwarding.py
@@ -4,11 +4,12 @@
 import contextlib
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Protocol
 
 import anyio
 from anyio.abc import TaskGroup
 
-from ragwortstand.backend_servers import BackendServer
+from ragwortstand.backend_servers import Load
 from ragwortstand.calls import Call
 from ragwortstand.exceptions import PeerError
 from ragwortstand.ids import IdempotencyKey, RequestId, Version
@@ -104,22 +105,32 @@
         await self.tell(member, cancel, _CANCEL_TIMEOUT_S)
 
 
+class Runner(Protocol):
+    """Runs requests on the backend server of this host."""
+
+    async def run(self, call: Call) -> Outcome:
+        """Return the outcome of a request."""
+
+
 class ForwardedWork:
     """Runs requests that other daemons forward to this one.
 
-    :param backend_server: the backend server beside this daemon.
+    :param runner: runs requests on the backend server of this host.
+    :param load: returns the load of that backend server.
     :param snapshot: returns the configuration in force.
     :param is_leaving: tells whether this daemon refuses new work.
     """
 
     def __init__(
         self,
-        backend_server: BackendServer,
+        runner: Runner,
+        load: Callable[[float], Load],
         snapshot: Callable[[], Snapshot | None],
         is_leaving: Callable[[], bool],
     ) -> None:
         """Start without work."""
-        self._backend_server = backend_server
+        self._runner = runner
+        self._load = load
         self._snapshot = snapshot
         self._is_leaving = is_leaving
         self._scopes: dict[RequestId, anyio.CancelScope] = {}
@@ -138,12 +149,12 @@
         try:
             with anyio.CancelScope() as scope:
                 self._scopes[work.request_id] = scope
-                outcome = await self._backend_server.run(call)
+                outcome = await self._runner.run(call)
         finally:
             self._scopes.pop(work.request_id, None)
         if scope.cancelled_caught and call.is_dispatched:
             outcome = Unknown(Cause.CALLER_GONE)
-        load = self._backend_server.load(anyio.current_time())
+        load = self._load(anyio.current_time())
         return work_done(outcome, load.busy)
 
     def cancel(self, request: CancelWork) -> Done:
--- a/src/ragwortstand/peers/gossip.py
+++ b/src/ragwortstand/peers/gossip.py
@@ -2,17 +2,21 @@
 
 A daemon probes one member of its availability zone each interval. Two
 members of each zone, chosen by rendezvous hashing, also probe one member of
-each other zone of their region, and two members of each region one member of
-each other region. News of members rides on the probes, as in SWIM.
+each other zone of their region and one dead member of their zone, which finds
+hosts that came back while the platform's table was out. Two members of each
+region probe one member of each other region. News of members rides on the
+probes, as in SWIM.
 """
 
 import random
 from collections.abc import Callable, Iterable
 
 import anyio
+from anyio.abc import TaskGroup
 
 from ragwortstand.exceptions import PeerError
 from ragwortstand.ids import HostId, PeerAddress, Version
+from ragwortstand.peers.homes import Homes
 from ragwortstand.peers.links import Links
 from ragwortstand.peers.members import Members
 from ragwortstand.peers.messages import (
@@ -24,6 +28,7 @@
     MemberState,
     Ping,
     Pong,
+    StoreView,
 )
 from ragwortstand.settings import MembershipSettings
 
@@ -43,6 +48,8 @@
     :param members: the list.
     :param links: links to the other daemons.
     :param settings: intervals and timeouts.
+    :param homes: told what peers say of the store.
+    :param store_view: returns what this daemon says of the store.
     :param version_in_force: returns this daemon's version.
     :param on_version: told of the version that a peer holds.
     :param rng: source of randomness.
@@ -53,6 +60,8 @@
         members: Members,
         links: Links,
         settings: MembershipSettings,
+        homes: Homes,
+        store_view: Callable[[], StoreView],
         version_in_force: Callable[[], Version],
         on_version: VersionListener,
         rng: random.Random,
@@ -61,15 +70,19 @@
         self._members = members
         self._links = links
         self._settings = settings
+        self._homes = homes
+        self._store_view = store_view
         self._version_in_force = version_in_force
         self._on_version = on_version
         self._rng = rng
         self._round: list[HostId] = []
+        self._tasks: TaskGroup | None = None
 
     async def run(self) -> None:
         """Probe until cancelled."""
         interval_s = self._settings.probe_interval_s
         async with anyio.create_task_group() as probes:
+            self._tasks = probes
             before_s = anyio.current_time()
             while True:
                 jitter = self._rng.uniform(1 - _JITTER, 1 + _JITTER)
@@ -92,6 +105,8 @@
             groups.extend(_grouped(near, own.zone, _zone))
         if own in self._members.leaders('bridge', _BRIDGES, region=own.region):
             groups.extend(_grouped(peers, own.region, _region))
+            dead = self._members.departed(MemberState.DEAD)
+            groups.append([one for one in dead if one.zone == own.zone])
         first = self._next_of(groups[0])
         others = [self._rng.choice(group) for group in groups[1:] if group]
         return [first, *others] if first else others
@@ -128,12 +143,17 @@
         :param ping: the probe.
         """
         now_s = anyio.current_time()
+        is_stranger = self._members.get(sender) is None
         self._members.merge(ping.news, now_s)
         member = self._members.get(sender)
+        if member and is_stranger and self._tasks:
+            self._tasks.start_soon(self.join, member.peer_address)
         if member:
             self._members.vouch(sender, now_s)
+            self._homes.note_store(sender, ping.store, now_s)
             self._on_version(ping.version, member.peer_address)
-        return Pong(self._version_in_force(), self._news_for(sender))
+        version = self._version_in_force()
+        return Pong(version, self._store_view(), self._news_for(sender))
 
     async def on_indirect_ping(self, request: IndirectPing) -> IndirectPong:
         """Probe a third daemon for the sender."""
@@ -153,9 +173,15 @@
         if await self._ping_indirectly(target):
             return
         self._members.suspect(target.host, anyio.current_time())
+        if target.state is MemberState.DEAD:
+            self._links.forget(target.peer_address)
 
     async def _ping(self, target: Member) -> bool:
-        ping = Ping(self._version_in_force(), self._news_for(target.host))
+        ping = Ping(
+            self._version_in_force(),
+            self._store_view(),
+            self._news_for(target.host),
+        )
         timeout_s = self._settings.probe_timeout_s
         try:
             reply = await self._links.ask(target.peer_address, ping, timeout_s)
@@ -166,6 +192,7 @@
         now_s = anyio.current_time()
         self._members.merge(reply.news, now_s)
         self._members.vouch(target.host, now_s)
+        self._homes.note_store(target.host, reply.store, now_s)
         self._on_version(reply.version, target.peer_address)
         return True
 
@@ -199,12 +226,17 @@
         answers.append(isinstance(reply, IndirectPong) and reply.is_alive)
 
     def _news_for(self, host: HostId) -> tuple[Member, ...]:
-        """Return news, and a suspicion against the host for it to refute."""
+        """Return news, with what a host that was out of sight must know.
+
+        It is told what is said of it, so that it can refute, and who tells.
+        """
         news = self._members.take_news()
         member = self._members.get(host)
-        if member and member.state is not MemberState.ALIVE:
-            return (*news, member)
-        return news
+        if member and member.state is MemberState.ALIVE:
+            return news
+        if member is None:
+            return (*news, self._members.own)
+        return (*news, member, self._members.own)
 
     def _next_of(self, group: list[Member]) -> Member | None:
         """Return members in rounds, each round in a new random order."""
--- a/src/ragwortstand/peers/links.py
+++ b/src/ragwortstand/peers/links.py
@@ -8,6 +8,7 @@
 
 import contextlib
 from collections.abc import Callable, Iterator
+from typing import cast
 
 import anyio
 import msgspec
@@ -28,6 +29,7 @@
     decode_reply,
     encode,
 )
+from ragwortstand.peers.operations import within
 from ragwortstand.verdicts import Verdict
 
 MAX_OVERHEAD_BYTES = 4 * 1024 * 1024
@@ -88,20 +90,13 @@
         timeout_s: float,
     ) -> bytes:
         with _context(socket) as context:
-            verdict = Verdict.NOT_RUN
-            try:
-                with anyio.fail_after(min(timeout_s, CONNECT_TIMEOUT_S)):
-                    await context.asend(wire)
-                verdict = Verdict.MAY_HAVE_RUN
-                with anyio.fail_after(timeout_s):
-                    reply: bytes = await context.arecv()
-            except TimeoutError as error:
-                problem = f'no answer from {self.address}'
-                raise PeerError(problem, verdict) from error
-            except pynng.NNGException as error:
-                raise PeerError(str(error), verdict) from error
+            send_s = min(timeout_s, CONNECT_TIMEOUT_S)
+            await within(send_s, context.asend(wire), Verdict.NOT_RUN)
+            reply = await within(
+                timeout_s, context.arecv(), Verdict.MAY_HAVE_RUN
+            )
         self.last_heard_s = anyio.current_time()
-        return reply
+        return cast(bytes, reply)
 
     def _dial(self) -> pynng.Req0:
         socket = pynng.Req0(
--- a/src/ragwortstand/peers/listener.py
+++ b/src/ragwortstand/peers/listener.py
@@ -9,6 +9,7 @@
 from anyio.abc import TaskGroup
 
 from ragwortstand.events import Event, EventLog
+from ragwortstand.exceptions import PeerError
 from ragwortstand.ids import HostId, PeerAddress
 from ragwortstand.metrics import Metrics
 from ragwortstand.peers.messages import (
@@ -21,6 +22,8 @@
     decode_envelope,
     encode,
 )
+from ragwortstand.peers.operations import within
+from ragwortstand.verdicts import Verdict
 
 _SPARE_RECEIVERS = 4
 _SEND_TIMEOUT_S = 5.0
@@ -133,6 +136,5 @@
 
 async def _send(context: pynng.Context, wire: bytes) -> None:
     """Send a reply; one that nobody waits for any more is dropped."""
-    with anyio.move_on_after(_SEND_TIMEOUT_S):
-        with contextlib.suppress(pynng.NNGException):
-            await context.asend(wire)
+    with contextlib.suppress(PeerError):
+        await within(_SEND_TIMEOUT_S, context.asend(wire), Verdict.NOT_RUN)
--- a/src/ragwortstand/peers/members.py
+++ b/src/ragwortstand/peers/members.py
@@ -50,6 +50,7 @@
         self._candidates: dict[ServiceName, tuple[Member, ...]] | None = None
         self._orders: dict[str, list[HostId]] = {}
         self.on_change: Callable[[Member], None] = _ignore
+        self.on_refute: Callable[[], None] = _nothing
 
     @property
     def own(self) -> Member:
@@ -79,9 +80,9 @@
             member for member in self.usable() if member.host != self._own_host
         ]
 
-    def departed(self) -> list[Member]:
-        """Return members that died or left a short while ago."""
-        return [member for member in self.all() if member.state not in _USABLE]
+    def departed(self, state: MemberState) -> list[Member]:
+        """Return the members that are still known to be in a state."""
+        return [member for member in self.all() if member.state is state]
 
     def offering(self, service: ServiceName) -> tuple[Member, ...]:
         """Return the members whose backend server offers a service."""
@@ -218,6 +219,7 @@
         if is_newer or (rumour.incarnation == own.incarnation and is_wrong):
             raised = rumour.incarnation + 1
             self._store(replace(own, incarnation=raised))
+            self.on_refute()
 
     def _store(self, member: Member, now_s: float | None = None) -> None:
         entry = self._entries.get(member.host)
@@ -238,5 +240,9 @@
         self._orders.clear()
 
 
+def _nothing() -> None:
+    """Do nothing when this daemon refutes."""
+
+
 def _ignore(member: Member) -> None:
     """Do nothing when a member changes."""
--- a/src/ragwortstand/peers/messages.py
+++ b/src/ragwortstand/peers/messages.py
@@ -68,14 +68,27 @@
     is_ready: bool = False
 
 
+class StoreView(msgspec.Struct, frozen=True, array_like=True):
+    """What a daemon knows of the platform's store.
+
+    :param is_reachable: whether the store answers the daemon.
+    :param outage_age_s: how long ago it failed anybody; None for never.
+    """
+
+    is_reachable: bool
+    outage_age_s: float | None = None
+
+
 class Ping(_Message, frozen=True):
     """Probe that carries news of members and the sender's version.
 
     :param version: version that the sender holds.
+    :param store: what the sender says of the store.
     :param news: recent changes of members.
     """
 
     version: Version
+    store: StoreView
     news: tuple[Member, ...] = ()
 
 
@@ -83,6 +96,7 @@
     """Reply to a probe; fields as in `Ping`."""
 
     version: Version
+    store: StoreView
     news: tuple[Member, ...] = ()
 
 
--- a/src/ragwortstand/peers/retries.py
+++ b/src/ragwortstand/peers/retries.py
@@ -14,11 +14,19 @@
         Cause.ALREADY_CLAIMED,
         Cause.CLAIM_UNAVAILABLE,
         Cause.DEADLINE,
+        Cause.NOT_HOME,
         Cause.QUARANTINED,
     ),
 )
 
 
+# A keyed request goes to another home only when its home is gone; the memory
+# of a home that is merely busy must stay complete.
+_HOME_FAILURES = frozenset(
+    (Cause.BACKEND_SERVER_DOWN, Cause.LEAVING, Cause.NO_BACKEND_SERVER),
+)
+
+
 class RetryPolicy(Protocol):
     """Decides whether a request gets another attempt."""
 
@@ -83,6 +91,8 @@
         return False
     if call.attempt >= MAX_ATTEMPTS or not call.remaining_s(now_s):
         return False
+    if call.key and not call.is_idempotent:
+        return outcome.cause in _HOME_FAILURES
     return isinstance(outcome, Refused) or call.is_idempotent
 
 
--- a/src/ragwortstand/platform/__init__.py
+++ b/src/ragwortstand/platform/__init__.py
@@ -10,12 +10,14 @@
     Unavailable,
     VersionRecord,
 )
+from ragwortstand.platform.claims import ClaimTable
 from ragwortstand.platform.client import PlatformClient
 from ragwortstand.platform.entry_points import EntryPoint, EntryPoints
 
 __all__ = (
     'Acceptance',
     'Accepted',
+    'ClaimTable',
     'Conflict',
     'EntryPoint',
     'EntryPoints',
--- a/src/ragwortstand/platform/client.py
+++ b/src/ragwortstand/platform/client.py
@@ -1,8 +1,10 @@
 """ragwortstand.platform.client: HTTP client of the platform."""
 
+from collections.abc import Callable
 from typing import TypeVar
 from urllib.parse import quote
 
+import anyio
 import httpcore
 import msgspec
 
@@ -52,6 +54,7 @@
             keepalive_expiry=settings.timeout_s * 2,
         )
         self.is_reachable = True
+        self.on_failure: Callable[[float], None] = _ignore
 
     async def close(self) -> None:
         """Close all connections."""
@@ -124,6 +127,7 @@
         if self.is_reachable:
             self._log.emit(Event.PLATFORM_OUTAGE, problem=problem)
         self.is_reachable = False
+        self.on_failure(anyio.current_time())
         return PlatformError(problem, verdict)
 
     def _succeeded(self, kind: str) -> None:
@@ -138,3 +142,7 @@
         return msgspec.json.decode(answer.content, type=form)
     except msgspec.DecodeError as error:
         raise PlatformError(str(error), Verdict.MAY_HAVE_RUN) from error
+
+
+def _ignore(at_s: float) -> None:
+    """Do nothing when a call fails."""
--- a/src/ragwortstand/settings.py
+++ b/src/ragwortstand/settings.py
@@ -26,6 +26,16 @@
     port: _Port = 0
 
 
+class PeerSettings(Listen):
+    """The side of the daemon that other daemons talk to.
+
+    :param advertised: ``address:port`` that others use, where it differs from
+        the one listened on; empty for none.
+    """
+
+    advertised: Annotated[str, Field(pattern=r'^([0-9.]+:\d+)?$')] = ''
+
+
 class AdminSettings(Listen):
     """The operators' side of the daemon.
 
@@ -96,7 +106,16 @@
     probe_interval_s: _Interval = 1.0
     probe_timeout_s: _Interval = 0.4
     suspicion_s: _Interval = 2.0
-    departed_s: Annotated[float, Field(gt=0, le=86_400)] = 600.0
+    departed_s: Annotated[float, Field(gt=0, le=604_800)] = 86_400.0
+
+
+class ClaimSettings(StrictModel):
+    """How requests with an idempotency key are kept from running twice.
+
+    :param window_s: time within which callers repeat a request.
+    """
+
+    window_s: Annotated[float, Field(gt=0, le=86_400)] = 600.0
 
 
 class PolicySettings(StrictModel):
@@ -130,11 +149,12 @@
     admin: AdminSettings
     platform: PlatformSettings
     callers: Listen = Listen()
-    peers: Listen = Listen()
+    peers: PeerSettings = PeerSettings()
     entry_points: tuple[str, ...] = ()
     limits: LimitSettings = LimitSettings()
     backend_server: BackendServerSettings = BackendServerSettings()
     membership: MembershipSettings = MembershipSettings()
+    claims: ClaimSettings = ClaimSettings()
     policies: PolicySettings = PolicySettings()
 
 
--- a/src/ragwortstand/tools/demo.py
+++ b/src/ragwortstand/tools/demo.py
@@ -10,12 +10,10 @@
 import subprocess
 import sys
 import tempfile
-import threading
 import time
 from collections.abc import Sequence
 from uuid import uuid4
 
-import anyio
 import msgspec
 
 from ragwortstand import api
@@ -24,9 +22,10 @@
 from ragwortstand.ids import SubmissionId, Version
 from ragwortstand.models import Configuration, Rank
 from ragwortstand.tools.audit import Audit, RankReport, audit, read_journals
+from ragwortstand.tools.background import BackgroundLoad
 from ragwortstand.tools.deployment import Deployment, load_deployment
 from ragwortstand.tools.fleet import Fleet, Node
-from ragwortstand.tools.load import Callers, Plan
+from ragwortstand.tools.load import Plan
 from ragwortstand.tools.processes import wait_until
 
 _LOAD_S = 20.0
@@ -99,28 +98,23 @@
             fleet.await_members(len(fleet.nodes))
             first_s = self._put_in_force(self._mesh)
             _say(f'version 1 is in force everywhere after {first_s:.2f} s')
-            callers, loading = self._start_load()
+            load = self._start_load()
             time.sleep(_STEP_S)
             second_s = self._put_in_force(_changed(self._mesh))
             _say(f'version 2 is in force everywhere after {second_s:.2f} s')
             exit_code = self._stop_one_daemon()
             self._kill_one_server()
-            loading.join()
+            records = load.finish()
             time.sleep(_SETTLE_S)
-            found = audit(callers.records, read_journals(fleet.journals()))
+            found = audit(records, read_journals(fleet.journals()))
             return self._summary(found, max(first_s, second_s), exit_code)
 
-    def _start_load(self) -> tuple[Callers, threading.Thread]:
+    def _start_load(self) -> BackgroundLoad:
         urls = [node.url for node in self._callable_nodes()]
-        callers = Callers(urls, 'demo', self._seed)
         plan = Plan(_LOAD_S, self._deployment.streams, self._seed)
-
-        def run() -> None:
-            anyio.run(callers.run, plan, backend_options={'use_uvloop': True})
-
-        thread = threading.Thread(target=run)
-        thread.start()
-        return callers, thread
+        load = BackgroundLoad(urls, plan, 'demo')
+        load.start()
+        return load
 
     def _callable_nodes(self) -> list[Node]:
         """Return all nodes but the one whose daemon will be stopped."""
--- a/src/ragwortstand/tools/fleet.py
+++ b/src/ragwortstand/tools/fleet.py
@@ -16,8 +16,10 @@
 from ragwortstand.tools.deployment import Host
 from ragwortstand.tools.processes import (
     LOOPBACK,
+    FleetError,
     LinkProcess,
     Process,
+    free_port,
     post,
     wait_until,
 )
@@ -43,6 +45,7 @@
         self.peer_address = ''
         self.server_port = 0
         self.link: LinkProcess | None = None
+        self.server_link: LinkProcess | None = None
 
     @property
     def url(self) -> str:
@@ -98,6 +101,8 @@
         self._platform_port = 0
         self._platform_relay: LinkProcess | None = None
         folder.mkdir(parents=True, exist_ok=True)
+        if any(folder.glob('*.journal')):
+            raise FleetError(f'{folder} holds the journals of another run')
 
     def __enter__(self) -> 'Fleet':
         """Return the fleet itself."""
@@ -140,6 +145,26 @@
         arguments = ['link', '--target', target]
         return LinkProcess(self._process(f'link-{name}', arguments))
 
+    def put_link_before_peers(self, node: Node) -> LinkProcess:
+        """Start a relay through which other daemons reach a daemon.
+
+        To be called before the daemon starts.
+        """
+        node.peer_address = f'tcp://{LOOPBACK}:{free_port()}'
+        target = node.peer_address.removeprefix('tcp://')
+        node.link = self.start_link(node.host.name, target)
+        return node.link
+
+    def put_link_before_server(self, node: Node) -> LinkProcess:
+        """Start a relay through which a daemon reaches its backend server.
+
+        To be called before the backend server starts.
+        """
+        node.server_port = free_port()
+        target = f'{LOOPBACK}:{node.server_port}'
+        node.server_link = self.start_link(f'{node.host.name}.server', target)
+        return node.server_link
+
     def spawn_daemon(self, node: Node) -> None:
         """Start a daemon without waiting for it."""
         path = self.folder / f'{node.host.name}.settings.json'
@@ -177,6 +202,8 @@
             f'--announce={node.admin_url}/v1/announce',
             f'--port={node.server_port}',
         ]
+        if node.server_link:
+            arguments.append(f'--announced-port={node.server_link.port}')
         node.server = self._process(f'{host.name}.server', arguments)
 
     def await_server(self, node: Node) -> None:
@@ -266,8 +293,8 @@
         processes = [self._platform]
         for node in self.nodes.values():
             processes += [node.daemon, node.server]
-            if node.link:
-                processes.append(node.link.process)
+            links = (node.link, node.server_link)
+            processes += [link.process for link in links if link]
         if self._platform_relay:
             processes.append(self._platform_relay.process)
         for process in processes:
@@ -300,7 +327,10 @@
             'availability_zone': host.availability_zone,
             'callers': {'port': node.callers_port},
             'admin': {'port': node.admin_port, 'token': TOKEN},
-            'peers': {'port': peer_port},
+            'peers': {
+                'port': peer_port,
+                'advertised': _advertised(node),
+            },
             'platform': {
                 'url': f'http://{LOOPBACK}:{platform_port}',
                 'region': self.store_region,
@@ -310,6 +340,10 @@
         return settings
 
 
+def _advertised(node: Node) -> str:
+    return f'{LOOPBACK}:{node.link.port}' if node.link else ''
+
+
 def _sent_bytes(metrics: str, scopes: tuple[str, ...]) -> Iterator[float]:
     pattern = (
         r'ragwort_control_bytes_total\{direction="sent",link="(\w+)",'
--- a/src/ragwortstand/tools/processes.py
+++ b/src/ragwortstand/tools/processes.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from ragwortstand.exceptions import RagwortstandError
+from ragwortstand.servers import bind, port_of
 from ragwortstand.tools.standin_link import LinkMode, LinkState
 
 LOOPBACK = '127.0.0.1'
@@ -122,6 +123,15 @@
         post(f'{self._admin_url}/state', msgspec.json.encode(state))
 
 
+def free_port() -> int:
+    """Return a TCP port that the operating system chose and nobody uses."""
+    listener = bind(LOOPBACK, 0)
+    try:
+        return port_of(listener)
+    finally:
+        listener.close()
+
+
 def post(url: str, body: bytes) -> None:
     """Send a body to a stand-in.
 
--- a/src/ragwortstand/tools/standin_cli.py
+++ b/src/ragwortstand/tools/standin_cli.py
@@ -70,8 +70,9 @@
         )
         async with anyio.create_task_group() as tasks:
             if options.announce:
+                announced = options.announced_port or port
                 tasks.start_soon(
-                    standin.announce, options.announce, _LOOPBACK, port
+                    standin.announce, options.announce, _LOOPBACK, announced
                 )
             _tell(port=port)
             await http_server(standin).serve([listener])
@@ -124,6 +125,12 @@
     backend.add_argument('--service', required=True)
     backend.add_argument('--journal', required=True, metavar='FILE')
     backend.add_argument('--announce', metavar='URL', default='')
+    backend.add_argument(
+        '--announced-port',
+        type=int,
+        default=0,
+        help='port to announce, where a relay stands before the server',
+    )
     backend.add_argument('--slots', type=int, default=15)
     backend.add_argument('--connections', type=int, default=130)
     backend.add_argument('--service-time-s', type=float, default=0.02)
--- a/src/ragwortstand/tools/timeline.py
+++ b/src/ragwortstand/tools/timeline.py
@@ -137,8 +137,10 @@
         return report(error, ExitCode.FAULTY)
     if not events:
         return report('no events in these logs', ExitCode.FAILED)
-    for line in render(events, chosen):
-        sys.stdout.write(f'{line}\n')
+    try:
+        sys.stdout.writelines(f'{line}\n' for line in render(events, chosen))
+    except BrokenPipeError:
+        sys.stderr.close()
     return ExitCode.DONE
 
 
--- a/src/ragwortstand/verdicts.py
+++ b/src/ragwortstand/verdicts.py
@@ -34,6 +34,7 @@
     QUARANTINED = 'quarantined'
     CALLER_GONE = 'caller-gone'
     ALREADY_CLAIMED = 'already-claimed'
+    NOT_HOME = 'not-home'
     CLAIM_UNAVAILABLE = 'claim-unavailable'
     ANSWER_TOO_LARGE = 'answer-too-large'
     INTERNAL = 'internal-error'
--- /dev/null
+++ b/tests/test_acceptance.py
@@ -0,0 +1,105 @@
+"""Tests of the acceptance of submissions."""
+
+import unittest
+
+from ragwortstand.ids import SubmissionId, Version
+from ragwortstand.platform import (
+    Acceptance,
+    Accepted,
+    Conflict,
+    Faulty,
+    Submission,
+    Unavailable,
+)
+from ragwortstand.verdicts import Verdict
+from tests.fakes import MESH, FakePlatform
+
+
+def _submission(name: str, base: int | None = 0) -> Submission:
+    return Submission(
+        content=MESH.to_json().encode(),
+        submission=SubmissionId(name),
+        base=None if base is None else Version(base),
+        author='test',
+    )
+
+
+class AcceptanceTest(unittest.IsolatedAsyncioTestCase):
+    """One conditional transaction accepts a version."""
+
+    def setUp(self) -> None:
+        """Start with an empty platform."""
+        self.platform = FakePlatform()
+        self.acceptance = Acceptance(self.platform, self.platform)
+
+    async def test_first_version(self) -> None:
+        """An accepted version is head, record and object."""
+        outcome = await self.acceptance.submit(_submission('s'), 1.0)
+        assert isinstance(outcome, Accepted)
+        self.assertEqual(outcome.record.version, 1)
+        self.assertEqual(await self.acceptance.head(), outcome.record)
+        content = await self.acceptance.content(outcome.record.digest)
+        self.assertEqual(content, MESH.to_json().encode())
+
+    async def test_race_has_one_winner(self) -> None:
+        """The second of two submissions on one base learns the winner."""
+        await self.acceptance.submit(_submission('s1'), 1.0)
+        outcome = await self.acceptance.submit(_submission('s2'), 1.0)
+        assert isinstance(outcome, Conflict)
+        assert outcome.winner
+        self.assertEqual(outcome.winner.submission, 's1')
+
+    async def test_repetition_is_accepted_once(self) -> None:
+        """The same submission id gives the same version."""
+        first = await self.acceptance.submit(_submission('s'), 1.0)
+        second = await self.acceptance.submit(_submission('s'), 2.0)
+        self.assertEqual(first, second)
+
+    async def test_lost_answer_is_settled(self) -> None:
+        """A commit whose answer was lost is found, not repeated."""
+        self.platform.write_faults.append(Verdict.MAY_HAVE_RUN)
+        outcome = await self.acceptance.submit(_submission('s'), 1.0)
+        assert isinstance(outcome, Accepted)
+        self.assertEqual(outcome.record.version, 1)
+        self.assertEqual(len(await self.acceptance.history(10)), 1)
+
+    async def test_lost_answer_before_a_rival(self) -> None:
+        """A commit with a lost answer counts although the head moved on."""
+        self.platform.write_faults.append(Verdict.MAY_HAVE_RUN)
+        await self.acceptance.submit(_submission('s'), 1.0)
+        await self.acceptance.submit(_submission('rival', 1), 1.0)
+        outcome = await self.acceptance.submit(_submission('s'), 1.0)
+        assert isinstance(outcome, Accepted)
+        self.assertEqual(outcome.record.version, 1)
+
+    async def test_outage_before_the_commit(self) -> None:
+        """Without the platform nothing is accepted, and that is said."""
+        self.platform.is_out = True
+        outcome = await self.acceptance.submit(_submission('s'), 1.0)
+        assert isinstance(outcome, Unavailable)
+        self.assertIs(outcome.verdict, Verdict.NOT_RUN)
+        self.platform.is_out = False
+        self.assertIsNone(await self.acceptance.head())
+
+    async def test_refused_commits_change_nothing(self) -> None:
+        """An object without a head row is no version."""
+        self.platform.write_faults.extend([Verdict.NOT_RUN] * 4)
+        outcome = await self.acceptance.submit(_submission('s'), 1.0)
+        self.assertIsInstance(outcome, Unavailable)
+        self.assertTrue(self.platform.objects)
+        self.assertIsNone(await self.acceptance.head())
+
+    async def test_faulty_configuration(self) -> None:
+        """Faults come back and nothing is written."""
+        faulty = Submission(b'{}', SubmissionId('s'), None, 'test')
+        outcome = await self.acceptance.submit(faulty, 1.0)
+        self.assertIsInstance(outcome, Faulty)
+        self.assertFalse(self.platform.objects)
+
+    async def test_history_is_newest_first(self) -> None:
+        """History lists versions from the newest down."""
+        for number in range(5):
+            name = f's{number}'
+            await self.acceptance.submit(_submission(name, None), 1.0)
+        versions = [one.version for one in await self.acceptance.history(3)]
+        self.assertEqual(versions, [5, 4, 3])
--- /dev/null
+++ b/tests/test_members.py
@@ -0,0 +1,186 @@
+"""Tests of the list of members and of homes of keys."""
+
+import itertools
+import random
+import unittest
+
+from ragwortstand.ids import HostId, RegionName, ServiceName, ZoneName
+from ragwortstand.peers.homes import Homes
+from ragwortstand.peers.members import Members
+from ragwortstand.peers.messages import MemberState, StoreView
+from ragwortstand.settings import MembershipSettings
+from tests.fakes import member
+
+_SETTINGS = MembershipSettings(suspicion_s=2, departed_s=100)
+_CONSULT = ServiceName('consult')
+_KEYS = tuple(f'key-{number}' for number in range(60))
+
+
+def _members(count: int = 6) -> Members:
+    members = Members(member('h0'), _SETTINGS, 0)
+    members.merge([member(f'h{one}') for one in range(1, count)], 0)
+    return members
+
+
+class MembersTest(unittest.TestCase):
+    """Incarnations, suspicion and departure."""
+
+    def test_higher_incarnation_wins(self) -> None:
+        """A newer entry replaces an older one, never the other way."""
+        members = _members()
+        members.merge([member('h1', state=MemberState.DEAD)], 1)
+        members.merge([member('h1')], 2)
+        self.assertIs(_state(members, 'h1'), MemberState.DEAD)
+        members.merge([member('h1', incarnation=2)], 3)
+        self.assertIs(_state(members, 'h1'), MemberState.ALIVE)
+
+    def test_suspect_dies_after_suspicion(self) -> None:
+        """A suspect that does not refute is dead after a while."""
+        members = _members()
+        members.suspect(HostId('h1'), 10)
+        members.expire(11.9)
+        self.assertIs(_state(members, 'h1'), MemberState.SUSPECT)
+        members.expire(12)
+        self.assertIs(_state(members, 'h1'), MemberState.DEAD)
+
+    def test_own_suspicion_is_refuted(self) -> None:
+        """A daemon that hears of its own death raises its incarnation."""
+        members = _members()
+        doubts: list[int] = []
+        members.on_refute = lambda: doubts.append(1)
+        members.merge([member('h0', state=MemberState.DEAD)], 1)
+        self.assertEqual(members.own.incarnation, 2)
+        self.assertIs(members.own.state, MemberState.ALIVE)
+        self.assertEqual(doubts, [1])
+
+    def test_mass_loss_keeps_the_list(self) -> None:
+        """When most members vanish at once the last list is kept."""
+        members = _members(8)
+        for one in range(1, 6):
+            members.suspect(HostId(f'h{one}'), 10)
+        members.expire(100)
+        self.assertEqual(len(members.usable()), 8)
+
+    def test_a_third_lost_at_once_is_declared(self) -> None:
+        """A third of the members may die at once and is found dead."""
+        members = _members(18)
+        for one in range(1, 7):
+            members.suspect(HostId(f'h{one}'), 10)
+        members.expire(12)
+        self.assertEqual(len(members.usable()), 12)
+
+    def test_postpone_spares_suspects(self) -> None:
+        """After a pause of this daemon, suspicions start again."""
+        members = _members()
+        members.suspect(HostId('h1'), 10)
+        members.postpone(50)
+        members.expire(51)
+        self.assertIs(_state(members, 'h1'), MemberState.SUSPECT)
+
+    def test_departed_members_are_forgotten_late(self) -> None:
+        """A dead member stays known for the configured time."""
+        members = _members()
+        members.merge([member('h1', state=MemberState.DEAD)], 10)
+        members.expire(109)
+        self.assertIsNotNone(members.get(HostId('h1')))
+        members.expire(111)
+        self.assertIsNone(members.get(HostId('h1')))
+
+    def test_news_spreads_to_each_member(self) -> None:
+        """Taking news from each other, all lists agree in a few rounds."""
+        lists = [Members(member(f'h{one}'), _SETTINGS, 0) for one in range(20)]
+        for left, right in itertools.pairwise(lists):
+            left.merge([right.own], 0)
+        rng = random.Random(3)
+        for _ in range(40):
+            for one in lists:
+                rng.choice(lists).merge(one.take_news(), 1)
+        sizes = {len(one) for one in lists}
+        self.assertEqual(sizes, {20})
+
+    def test_roles_need_no_election(self) -> None:
+        """All daemons with the same list name the same leaders."""
+        orders = []
+        for own in ('h0', 'h3'):
+            members = Members(member(own), _SETTINGS, 0)
+            members.merge([member(f'h{one}') for one in range(6)], 0)
+            leaders = members.leaders('bridge', 2, zone=ZoneName('a1'))
+            orders.append([leader.host for leader in leaders])
+        self.assertEqual(orders[0], orders[1])
+        nowhere = members.leaders('bridge', 2, region=RegionName('b'))
+        self.assertEqual(nowhere, [])
+
+
+def _state(members: Members, host: str) -> MemberState:
+    found = members.get(HostId(host))
+    assert found
+    return found.state
+
+
+class HomesTest(unittest.TestCase):
+    """Which daemon may run a keyed request, and when without the store."""
+
+    def setUp(self) -> None:
+        """Start with six members, ready since time 0."""
+        self.members = _members()
+        self.homes = Homes(self.members, 'a', window_s=60)
+        self.homes.note_ready(is_ready=True, now_s=0)
+
+    def test_each_key_has_one_home(self) -> None:
+        """All daemons agree on the home of a key."""
+        other = Members(member('h3'), _SETTINGS, 0)
+        other.merge([member(f'h{one}') for one in range(6)], 0)
+        others = Homes(other, 'a', window_s=60)
+        for key in _KEYS:
+            self.assertEqual(
+                self.homes.home(_CONSULT, key), others.home(_CONSULT, key)
+            )
+
+    def test_only_home_needs_the_whole_window(self) -> None:
+        """A daemon relies on its memory only after a full window."""
+        key = self._own_key()
+        self.assertFalse(self.homes.is_only_home(_CONSULT, key, 59))
+        self.assertTrue(self.homes.is_only_home(_CONSULT, key, 60))
+        self.homes.note_doubt(61)
+        self.assertFalse(self.homes.is_only_home(_CONSULT, key, 62))
+
+    def test_heir_of_a_dead_home_is_not_the_only_one(self) -> None:
+        """Keys of a dead member move, but not without the store."""
+        key = self._key_of('h1')
+        dead = member('h1', state=MemberState.DEAD)
+        self.members.merge([dead], 70)
+        self.assertFalse(self.homes.is_only_home(_CONSULT, key, 200))
+
+    def test_doubt_after_an_outage(self) -> None:
+        """An heir doubts keys while the dead home may have run them."""
+        key = self._key_of('h1')
+        self.members.merge([member('h1', state=MemberState.DEAD)], 70)
+        self.assertFalse(self.homes.is_in_doubt(_CONSULT, key, 71))
+        self.homes.note_store(HostId('h2'), StoreView(True, 5.0), 80)
+        self.assertTrue(self.homes.is_in_doubt(_CONSULT, key, 81))
+        self.assertFalse(self.homes.is_in_doubt(_CONSULT, key, 136))
+        own = self._own_key()
+        self.assertFalse(self.homes.is_in_doubt(_CONSULT, own, 81))
+
+    def test_store_out_for_all(self) -> None:
+        """One peer that reaches the store refutes an outage."""
+        self.homes.note_store(HostId('h1'), StoreView(False), 10)
+        self.assertTrue(self.homes.is_store_out_for_all(11))
+        self.homes.note_store(HostId('h2'), StoreView(True), 10)
+        self.assertFalse(self.homes.is_store_out_for_all(11))
+
+    def test_cut_off_from_the_store_region(self) -> None:
+        """A daemon that sees nobody near the store cannot tell."""
+        homes = Homes(self.members, 'elsewhere', window_s=60)
+        homes.note_store(HostId('h1'), StoreView(False), 10)
+        self.assertFalse(homes.is_store_out_for_all(11))
+
+    def _own_key(self) -> str:
+        return self._key_of('h0')
+
+    def _key_of(self, host: str) -> str:
+        return next(
+            key
+            for key in _KEYS
+            if (home := self.homes.home(_CONSULT, key)) and home.host == host
+        )
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,62 @@
+"""Tests of the settings."""
+
+import json
+import pathlib
+import unittest
+
+from ragwortstand.exceptions import SettingsError
+from ragwortstand.settings import load_settings, parse_settings
+
+_ROOT = pathlib.Path(__file__).parent.parent
+_GOOD = {
+    'cluster': 'c',
+    'host': 'h',
+    'region': 'r',
+    'availability_zone': 'z',
+    'admin': {'token': '0123456789abcdef'},
+    'platform': {'url': 'http://127.0.0.1:1', 'region': 'r'},
+}
+
+
+class SettingsTest(unittest.TestCase):
+    """Settings are checked in full."""
+
+    def test_defaults_fill_in(self) -> None:
+        """A short file is enough."""
+        settings = parse_settings(json.dumps(_GOOD))
+        self.assertEqual(settings.limits.max_in_flight, 1000)
+
+    def test_every_fault_is_listed(self) -> None:
+        """All faults come at once, each with its path and legal range."""
+        bad = {
+            **_GOOD,
+            'callers': {'port': 70000},
+            'colour': 1,
+            'limits': {'max_request_bytes': -1},
+            'admin': {'token': 'short'},
+        }
+        with self.assertRaises(SettingsError) as caught:
+            parse_settings(json.dumps(bad))
+        faults = {one.path: one.problem for one in caught.exception.faults}
+        self.assertEqual(
+            set(faults),
+            {
+                '$.callers.port',
+                '$.colour',
+                '$.limits.max_request_bytes',
+                '$.admin.token',
+            },
+        )
+        self.assertIn('65535', faults['$.callers.port'])
+
+    def test_missing_file_is_a_fault(self) -> None:
+        """A path that cannot be read is told."""
+        with self.assertRaises(SettingsError):
+            load_settings('/nonexistent/settings.json')
+
+    def test_example_settings_are_sound(self) -> None:
+        """Each settings file of the examples passes the check."""
+        paths = sorted((_ROOT / 'examples').glob('*/settings/*.json'))
+        self.assertEqual(len(paths), 36)
+        for path in paths:
+            load_settings(str(path))
