--- a/src/ragwortstand/backend_servers/server.py
+++ b/src/ragwortstand/backend_servers/server.py
@@ -27,7 +27,7 @@
     HttpConnection,
     WireRequest,
 )
-from ragwortstand.backend_servers.crashes import CrashRecord
+from ragwortstand.backend_servers.crashes import SUSPICION_S, CrashRecord
 from ragwortstand.calls import Call
 from ragwortstand.events import Event, EventLog
 from ragwortstand.exceptions import BackendServerError
@@ -124,6 +124,7 @@
         self.announcement: Announcement | None = None
         self.state = BackendState.ABSENT
         self.crash_record = CrashRecord()
+        self.is_home: Callable[[Call], bool] = _always
         self.on_change: Callable[[], None] = _nothing
         self.on_crash: CrashListener = _no_crash_listener
 
@@ -211,8 +212,11 @@
             return None
         now_s = anyio.current_time()
         if self.crash_record.is_quarantined(call.fingerprint, now_s):
-            return Refused(Cause.QUARANTINED, retry_after_s=600)
-        return None
+            return Refused(Cause.QUARANTINED, SUSPICION_S)
+        is_keyed = call.key is not None and not call.is_idempotent
+        if is_keyed or not self._is_suspect(call):
+            return None
+        return None if self.is_home(call) else Refused(Cause.SUSPECT)
 
     async def _queue(self, call: Call, claim: ClaimStep) -> Outcome:
         ticket = self._admission.enter(
@@ -354,6 +358,11 @@
     )
 
 
+def _always(call: Call) -> bool:
+    """Run suspects here where nothing tells their home."""
+    return True
+
+
 def _nothing() -> None:
     """Do nothing when the state changes."""
 
--- a/src/ragwortstand/callers/dispatch.py
+++ b/src/ragwortstand/callers/dispatch.py
@@ -23,6 +23,7 @@
 )
 
 _NO_SERVER_RETRY_S = 1.0
+_SUSPICIOUS = frozenset((Cause.CRASHED, Cause.SUSPECT))
 
 
 class Dispatcher:
@@ -79,15 +80,21 @@
             outcome = await self._attempt(call, member)
             last = _worse(last, outcome)
             now_s = anyio.current_time()
-            if not self._retries.allows(call, outcome, now_s):
-                return outcome if isinstance(outcome, Answered) else last
+            is_allowed = self._retries.allows(call, outcome, now_s)
+            if isinstance(outcome, Answered):
+                return outcome
+            if not is_allowed:
+                return last
             call.attempt += 1
+            call.is_suspect |= outcome.cause in _SUSPICIOUS
             self._note_retry(call, member, outcome)
 
     def _choose(self, call: Call, tried: set[HostId]) -> Member | None:
         service = ServiceName(call.service.name)
         if call.key and not call.is_idempotent:
             return self._homes.home(service, call.key, tried)
+        if call.is_suspect:
+            return self._homes.home(service, call.fingerprint, tried)
         return self._choice.choose(
             self._members.offering(service),
             call.rank,
--- a/src/ragwortstand/callers/once.py
+++ b/src/ragwortstand/callers/once.py
@@ -7,6 +7,7 @@
 """
 
 from collections import OrderedDict
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from uuid import uuid4
 
@@ -29,6 +30,7 @@
 _MAX_ENTRIES = 20_000
 _NOT_HOME_RETRY_S = 0.5
 _EXPIRE_INTERVAL_S = 5.0
+_CLAIM_TIMEOUT_S = 0.5
 
 
 @dataclass(slots=True, eq=False)
@@ -59,6 +61,7 @@
     :param claims: claims in the platform's table.
     :param homes: tells the home of each key.
     :param window_s: time within which callers repeat a request.
+    :param is_store_out: finds out whether the store is out for everybody.
     """
 
     def __init__(
@@ -68,6 +71,7 @@
         claims: ClaimTable,
         homes: Homes,
         window_s: float,
+        is_store_out: Callable[[], Awaitable[bool]],
     ) -> None:
         """Start without memory."""
         self._host = host
@@ -75,6 +79,7 @@
         self._claims = claims
         self._homes = homes
         self._window_s = window_s
+        self._is_store_out = is_store_out
         self._entries: OrderedDict[str, _Entry] = OrderedDict()
 
     async def run(self, call: Call) -> Outcome:
@@ -169,23 +174,28 @@
         if self._homes.is_in_doubt(service, call.key, now_s):
             return Unknown(Cause.CLAIM_UNAVAILABLE)
         try:
-            is_held = await self._claims.claim(
-                name, Claim(self._host, entry.nonce)
-            )
-            holder = None if is_held else await self._claims.find(name)
-        except PlatformError:
-            return self._without_store(call)
-        if is_held or (holder and holder.nonce == entry.nonce):
+            with anyio.fail_after(_CLAIM_TIMEOUT_S):
+                holder = await self._holder(name, entry)
+        except (PlatformError, TimeoutError):
+            return await self._without_store(call)
+        if holder and holder.nonce == entry.nonce:
             entry.is_claimed = True
             return None
         return _first_outcome(holder)
 
-    def _without_store(self, call: Call) -> Outcome | None:
+    async def _holder(self, name: str, entry: _Entry) -> Claim | None:
+        """Claim a key and return the claim that the table holds."""
+        claim = Claim(self._host, entry.nonce)
+        if await self._claims.claim(name, claim):
+            return claim
+        return await self._claims.find(name)
+
+    async def _without_store(self, call: Call) -> Outcome | None:
         assert call.key
         now_s = anyio.current_time()
         service = ServiceName(call.service.name)
-        is_out = self._homes.is_store_out_for_all(now_s)
-        if is_out and self._homes.is_only_home(service, call.key, now_s):
+        is_only_home = self._homes.is_only_home(service, call.key, now_s)
+        if is_only_home and await self._is_store_out():
             return None
         return Unknown(Cause.CLAIM_UNAVAILABLE)
 
--- a/src/ragwortstand/calls.py
+++ b/src/ragwortstand/calls.py
@@ -27,6 +27,7 @@
     :param attempt: 1 for the first attempt.
     :param is_dispatched: whether the first byte may have reached a backend
         server.
+    :param is_suspect: whether it was in flight when a backend server crashed.
     """
 
     request_id: RequestId
@@ -42,6 +43,7 @@
     key: IdempotencyKey | None = None
     attempt: int = 1
     is_dispatched: bool = False
+    is_suspect: bool = False
     _fingerprint: Fingerprint | None = field(default=None, repr=False)
 
     @property
--- a/src/ragwortstand/daemon.py
+++ b/src/ragwortstand/daemon.py
@@ -15,6 +15,7 @@
     HostId,
     PeerAddress,
     RegionName,
+    ServiceName,
     ZoneName,
 )
 from ragwortstand.metrics import Metrics
@@ -35,10 +36,10 @@
     Member,
     MemberState,
     Ping,
-    StoreView,
 )
 from ragwortstand.peers.retries import retries_for
 from ragwortstand.peers.scopes import LinkScopes
+from ragwortstand.peers.store_watch import StoreWatch
 from ragwortstand.platform import (
     Acceptance,
     ClaimTable,
@@ -176,9 +177,15 @@
         )
         self._homes = Homes(
             self._members,
-            settings.platform.region,
             settings.claims.window_s,
         )
+        self._store_watch = StoreWatch(
+            self._members,
+            self._links,
+            settings.platform.region,
+            self._acceptance.head,
+            self._rng,
+        )
         self._members.on_refute = self._on_refute
         self._platform.on_failure = self._homes.note_outage
         self._gossip = Gossip(
@@ -186,7 +193,6 @@
             self._links,
             settings.membership,
             self._homes,
-            self._store_view,
             lambda: self._gate.version,
             self._distributor.heard,
             self._rng,
@@ -210,6 +216,9 @@
         self._backend_server = BackendServer(settings, self._log)
         self._backend_server.on_change = self._on_backend_server
         self._backend_server.on_crash = self._on_crash
+        self._backend_server.is_home = lambda call: self._homes.is_home(
+            ServiceName(call.service.name), call.fingerprint
+        )
         self._gate.subscribe(self._backend_server.configure)
         self._forwarder = Forwarder(self._links)
         self._claims = ClaimTable(self._platform)
@@ -219,6 +228,7 @@
             self._claims,
             self._homes,
             settings.claims.window_s,
+            self._store_watch.is_out_for_all,
         )
         dispatcher = Dispatcher(
             self._members,
@@ -248,6 +258,7 @@
             self._gossip,
             self._distributor,
             self._forwarded,
+            self._store_watch,
             self._gate,
             self._members,
             self._backend_server.crash_record,
@@ -304,9 +315,8 @@
     async def _watch_links(self) -> None:
         while True:
             await anyio.sleep(_WATCH_LINKS_S)
-            await self._links.watch(
-                Ping(self._gate.version, self._store_view())
-            )
+            outage_age_s = self._homes.outage_age_s(anyio.current_time())
+            await self._links.watch(Ping(self._gate.version, outage_age_s))
 
     async def _expire_backend_server(self) -> None:
         while True:
@@ -348,10 +358,6 @@
         )
         self._spawn_spread()
 
-    def _store_view(self) -> StoreView:
-        now_s = anyio.current_time()
-        return self._homes.store_view(self._platform.is_reachable, now_s)
-
     def _on_refute(self) -> None:
         self._homes.note_doubt(anyio.current_time())
 
--- a/src/ragwortstand/peers/gossip.py
+++ b/src/ragwortstand/peers/gossip.py
@@ -28,7 +28,6 @@
     MemberState,
     Ping,
     Pong,
-    StoreView,
 )
 from ragwortstand.settings import MembershipSettings
 
@@ -48,8 +47,7 @@
     :param members: the list.
     :param links: links to the other daemons.
     :param settings: intervals and timeouts.
-    :param homes: told what peers say of the store.
-    :param store_view: returns what this daemon says of the store.
+    :param homes: told of outages of the store.
     :param version_in_force: returns this daemon's version.
     :param on_version: told of the version that a peer holds.
     :param rng: source of randomness.
@@ -61,7 +59,6 @@
         links: Links,
         settings: MembershipSettings,
         homes: Homes,
-        store_view: Callable[[], StoreView],
         version_in_force: Callable[[], Version],
         on_version: VersionListener,
         rng: random.Random,
@@ -71,7 +68,6 @@
         self._links = links
         self._settings = settings
         self._homes = homes
-        self._store_view = store_view
         self._version_in_force = version_in_force
         self._on_version = on_version
         self._rng = rng
@@ -150,10 +146,10 @@
             self._tasks.start_soon(self.join, member.peer_address)
         if member:
             self._members.vouch(sender, now_s)
-            self._homes.note_store(sender, ping.store, now_s)
+            self._homes.note_report(ping.outage_age_s, now_s)
             self._on_version(ping.version, member.peer_address)
         version = self._version_in_force()
-        return Pong(version, self._store_view(), self._news_for(sender))
+        return Pong(version, self._outage_age_s(), self._news_for(sender))
 
     async def on_indirect_ping(self, request: IndirectPing) -> IndirectPong:
         """Probe a third daemon for the sender."""
@@ -167,6 +163,9 @@
         self._members.merge([request.member], anyio.current_time())
         return MemberList(self._members.all(), self._version_in_force())
 
+    def _outage_age_s(self) -> float | None:
+        return self._homes.outage_age_s(anyio.current_time())
+
     async def _probe(self, target: Member) -> None:
         if await self._ping(target):
             return
@@ -179,7 +178,7 @@
     async def _ping(self, target: Member) -> bool:
         ping = Ping(
             self._version_in_force(),
-            self._store_view(),
+            self._outage_age_s(),
             self._news_for(target.host),
         )
         timeout_s = self._settings.probe_timeout_s
@@ -192,7 +191,7 @@
         now_s = anyio.current_time()
         self._members.merge(reply.news, now_s)
         self._members.vouch(target.host, now_s)
-        self._homes.note_store(target.host, reply.store, now_s)
+        self._homes.note_report(reply.outage_age_s, now_s)
         self._on_version(reply.version, target.peer_address)
         return True
 
--- a/src/ragwortstand/peers/handlers.py
+++ b/src/ragwortstand/peers/handlers.py
@@ -11,6 +11,7 @@
 from ragwortstand.peers.messages import (
     Applied,
     AskApplied,
+    AskStore,
     CancelWork,
     CrashSuspects,
     Done,
@@ -23,6 +24,7 @@
     Request,
     Work,
 )
+from ragwortstand.peers.store_watch import StoreWatch
 from ragwortstand.versions import VersionGate
 
 
@@ -32,6 +34,7 @@
     :param gossip: answers probes and newcomers.
     :param distributor: answers about versions.
     :param forwarded: runs forwarded requests.
+    :param store_watch: tries the store for other daemons.
     :param gate: holds the version in force.
     :param members: the list of members.
     :param crash_record: counts crashes by request.
@@ -42,6 +45,7 @@
         gossip: Gossip,
         distributor: Distributor,
         forwarded: ForwardedWork,
+        store_watch: StoreWatch,
         gate: VersionGate,
         members: Members,
         crash_record: CrashRecord,
@@ -50,6 +54,7 @@
         self._gossip = gossip
         self._distributor = distributor
         self._forwarded = forwarded
+        self._store_watch = store_watch
         self._gate = gate
         self._members = members
         self._crash_record = crash_record
@@ -88,6 +93,8 @@
                 return self._distributor.on_fetch(request)
             case AskApplied():
                 return Applied(self._gate.version)
+            case AskStore():
+                return await self._store_watch.on_ask()
             case OfferVersion():
                 self._on_offer(sender, request)
                 return Done()
--- a/src/ragwortstand/peers/homes.py
+++ b/src/ragwortstand/peers/homes.py
@@ -9,33 +9,23 @@
 
 from ragwortstand.ids import HostId, ServiceName
 from ragwortstand.peers.members import Members
-from ragwortstand.peers.messages import Member, StoreView
+from ragwortstand.peers.messages import Member
 from ragwortstand.rendezvous import ranked
 
-_REPORT_LIFE_S = 3.0
-
 
 class Homes:
     """Computes homes from the list of members.
 
     :param members: the list of members.
-    :param store_region: region of the platform's store.
     :param window_s: time within which callers repeat a request.
     """
 
-    def __init__(
-        self,
-        members: Members,
-        store_region: str,
-        window_s: float,
-    ) -> None:
-        """Start without reports about the store."""
+    def __init__(self, members: Members, window_s: float) -> None:
+        """Start without word of an outage."""
         self._members = members
-        self._store_region = store_region
         self._window_s = window_s
         self._ready_since_s: float | None = None
         self._outage_at_s: float | None = None
-        self._reports: dict[HostId, _StoreReport] = {}
 
     def note_ready(self, is_ready: bool, now_s: float) -> None:
         """Note whether this daemon's backend server takes work.
@@ -53,29 +43,14 @@
         if self._ready_since_s is not None:
             self._ready_since_s = now_s
 
-    def note_store(
-        self,
-        host: HostId,
-        view: StoreView,
-        now_s: float,
-    ) -> None:
-        """Note what a peer says of the store.
-
-        :param host: the peer.
-        :param view: what it says.
-        :param now_s: present time.
-        """
-        self._reports[host] = _StoreReport(view.is_reachable, now_s)
-        if view.outage_age_s is not None:
-            self.note_outage(now_s - view.outage_age_s)
-
-    def store_view(self, is_reachable: bool, now_s: float) -> StoreView:
-        """Return what this daemon says of the store.
+    def note_report(self, outage_age_s: float | None, now_s: float) -> None:
+        """Note what a peer says of the last outage.
 
-        :param is_reachable: whether the store answers it.
+        :param outage_age_s: how long ago it was; None for never.
         :param now_s: present time.
         """
-        return StoreView(is_reachable, self.outage_age_s(now_s))
+        if outage_age_s is not None:
+            self.note_outage(now_s - outage_age_s)
 
     def home(
         self,
@@ -150,25 +125,6 @@
         """Note that the store failed a call at a time."""
         self._outage_at_s = max(at_s, self._outage_at_s or at_s)
 
-    def is_store_out_for_all(self, now_s: float) -> bool:
-        """Return whether the store itself is out, by what peers say.
-
-        A daemon that is cut off from the store's region cannot tell, so it
-        returns False.
-
-        :param now_s: present time.
-        """
-        recent = {
-            host: report
-            for host, report in self._reports.items()
-            if now_s - report.at_s <= _REPORT_LIFE_S
-        }
-        if any(report.is_reachable for report in recent.values()):
-            return False
-        if self._members.own.region == self._store_region:
-            return True
-        return any(self._is_in_store_region(host) for host in recent)
-
     def _is_first(self, service: ServiceName, key: str) -> bool:
         """Return whether this daemon leads among present and departed."""
         hosts = [
@@ -178,15 +134,3 @@
         ]
         order = ranked(f'{service}/{key}', hosts)
         return bool(order) and order[0] == self._members.own.host
-
-    def _is_in_store_region(self, host: HostId) -> bool:
-        member = self._members.get(host)
-        return member is not None and member.region == self._store_region
-
-
-class _StoreReport:
-    """What a peer said of the store, and when."""
-
-    def __init__(self, is_reachable: bool, at_s: float) -> None:
-        self.is_reachable = is_reachable
-        self.at_s = at_s
--- a/src/ragwortstand/peers/messages.py
+++ b/src/ragwortstand/peers/messages.py
@@ -68,27 +68,17 @@
     is_ready: bool = False
 
 
-class StoreView(msgspec.Struct, frozen=True, array_like=True):
-    """What a daemon knows of the platform's store.
-
-    :param is_reachable: whether the store answers the daemon.
-    :param outage_age_s: how long ago it failed anybody; None for never.
-    """
-
-    is_reachable: bool
-    outage_age_s: float | None = None
-
-
 class Ping(_Message, frozen=True):
     """Probe that carries news of members and the sender's version.
 
     :param version: version that the sender holds.
-    :param store: what the sender says of the store.
+    :param outage_age_s: how long ago the store failed anybody, as far as the
+        sender knows; None for never.
     :param news: recent changes of members.
     """
 
     version: Version
-    store: StoreView
+    outage_age_s: float | None
     news: tuple[Member, ...] = ()
 
 
@@ -96,7 +86,7 @@
     """Reply to a probe; fields as in `Ping`."""
 
     version: Version
-    store: StoreView
+    outage_age_s: float | None
     news: tuple[Member, ...] = ()
 
 
@@ -241,6 +231,19 @@
     request_id: RequestId
 
 
+class AskStore(_Message, frozen=True):
+    """Question whether the platform's store answers the receiver."""
+
+
+class StoreAnswer(_Message, frozen=True):
+    """Reply to `AskStore`.
+
+    :param is_reachable: whether the store has just answered.
+    """
+
+    is_reachable: bool
+
+
 class CrashSuspects(_Message, frozen=True):
     """A backend server crashed while these requests were in flight."""
 
@@ -263,6 +266,7 @@
     | OfferVersion
     | FetchVersion
     | AskApplied
+    | AskStore
     | Work
     | CancelWork
     | CrashSuspects
@@ -275,6 +279,7 @@
     | VersionContent
     | NotHeld
     | Applied
+    | StoreAnswer
     | WorkDone
     | Refusal
 )
--- a/src/ragwortstand/platform/claims.py
+++ b/src/ragwortstand/platform/claims.py
@@ -22,7 +22,7 @@
     TransactionResult,
     Write,
 )
-from ragwortstand.verdicts import Answered
+from ragwortstand.verdicts import Answered, Verdict
 
 MAX_KEPT_BODY_BYTES = 16 * 1024
 _PREFIX = 'claim/'
@@ -30,6 +30,7 @@
 _GATHER_S = 0.002
 _FLUSH_INTERVAL_S = 0.25
 _MAX_BEHIND = 20_000
+_BLOCK_S = 0.5
 
 
 class KeptAnswer(msgspec.Struct, frozen=True):
@@ -79,6 +80,7 @@
         self._pending: deque[_Pending] = deque()
         self._has_pending = anyio.Event()
         self._behind: deque[Write] = deque(maxlen=_MAX_BEHIND)
+        self._blocked_until_s = 0.0
 
     async def claim(self, key: str, claim: Claim) -> bool:
         """Insert a claim unless the key has one.
@@ -88,6 +90,8 @@
         :returns: whether this claim is the one in the table.
         :raises PlatformError: when the table did not settle it.
         """
+        if anyio.current_time() < self._blocked_until_s:
+            raise PlatformError('table failed just now', Verdict.NOT_RUN)
         pending = _Pending(key, claim)
         self._pending.append(pending)
         self._has_pending.set()
@@ -137,6 +141,8 @@
                 await self._insert(batch)
             except PlatformError as error:
                 _fail(batch, error)
+                now_s = anyio.current_time()
+                self._blocked_until_s = now_s + _BLOCK_S
             finally:
                 for pending in batch:
                     pending.done.set()
@@ -163,20 +169,16 @@
         for pending in batch:
             found = await self.find(pending.key)
             if found is None:
-                pending.error = await self._insert_alone(pending)
+                await self._insert_alone(pending)
             else:
                 pending.is_held = found == pending.claim
 
-    async def _insert_alone(self, pending: _Pending) -> PlatformError | None:
-        try:
-            outcome = await self._table.transact(_insertion([pending]))
-        except PlatformError as error:
-            return error
+    async def _insert_alone(self, pending: _Pending) -> None:
+        outcome = await self._table.transact(_insertion([pending]))
         pending.is_held = outcome.committed
         if not outcome.committed:
             found = await self.find(pending.key)
             pending.is_held = found == pending.claim
-        return None
 
     async def _flush(self) -> None:
         while True:
--- a/src/ragwortstand/verdicts.py
+++ b/src/ragwortstand/verdicts.py
@@ -32,6 +32,7 @@
     PEER_UNREACHABLE = 'peer-unreachable'
     CRASHED = 'crashed'
     QUARANTINED = 'quarantined'
+    SUSPECT = 'suspect'
     CALLER_GONE = 'caller-gone'
     ALREADY_CLAIMED = 'already-claimed'
     NOT_HOME = 'not-home'
--- /dev/null
+++ b/tests/test_callers.py
@@ -0,0 +1,224 @@
+"""Tests of the callers' side, as an ASGI application."""
+
+import unittest
+from typing import Any
+
+import anyio
+
+from ragwortstand.callers.answers import render
+from ragwortstand.callers.front import Front
+from ragwortstand.calls import Call
+from ragwortstand.ids import RequestId, Version
+from ragwortstand.metrics import Metrics
+from ragwortstand.settings import LimitSettings
+from ragwortstand.verdicts import (
+    Answered,
+    Cause,
+    Outcome,
+    Refused,
+    Unknown,
+    Verdict,
+)
+from ragwortstand.versions import Snapshot
+from tests.fakes import MESH, ListLog
+
+_SNAPSHOT = Snapshot(Version(3), MESH, b'')
+
+
+class _FakeDispatcher:
+    """Keeps calls and answers them."""
+
+    def __init__(self) -> None:
+        self.calls: list[Call] = []
+        self.outcome: Outcome = Answered(200, (), b'yes')
+        self.duration_s = 0.0
+        self.error: Exception | None = None
+
+    async def dispatch(self, call: Call) -> Outcome:
+        """Return the outcome after a while."""
+        self.calls.append(call)
+        await anyio.sleep(self.duration_s)
+        if self.error:
+            raise self.error
+        return self.outcome
+
+
+class _Exchange:
+    """One request over ASGI; the caller may leave after a while."""
+
+    def __init__(self, body: bytes, leave_after_s: float | None) -> None:
+        self._messages: list[dict[str, Any]] = [
+            {'type': 'http.request', 'body': body, 'more_body': False},
+        ]
+        self._leave_after_s = leave_after_s
+        self.status = 0
+        self.headers: dict[bytes, bytes] = {}
+        self.body = b''
+
+    async def receive(self) -> dict[str, Any]:
+        """Return the next message."""
+        if self._messages:
+            return self._messages.pop(0)
+        if self._leave_after_s is None:
+            await anyio.sleep_forever()
+        await anyio.sleep(self._leave_after_s or 0)
+        return {'type': 'http.disconnect'}
+
+    async def send(self, message: dict[str, Any]) -> None:
+        """Keep the answer."""
+        if message['type'] == 'http.response.start':
+            self.status = message['status']
+            self.headers = dict(message['headers'])
+        else:
+            self.body += message['body']
+
+    @property
+    def cause(self) -> str:
+        """Return the cause in the answer."""
+        return self.headers.get(b'ragwort-cause', b'').decode()
+
+
+class FrontTest(unittest.IsolatedAsyncioTestCase):
+    """Every request gets an answer with a true verdict."""
+
+    def setUp(self) -> None:
+        """Start with a configuration in force."""
+        self.snapshot: Snapshot | None = _SNAPSHOT
+        self.dispatcher = _FakeDispatcher()
+        self.front = Front(
+            lambda: self.snapshot,
+            self.dispatcher,  # type: ignore[arg-type]
+            LimitSettings(max_request_bytes=100),
+            Metrics(),
+            ListLog(),
+        )
+
+    async def test_answer_passes_through(self) -> None:
+        """A backend server's answer carries verdict and version."""
+        exchange = await self._send('/slips/a')
+        self.assertEqual((exchange.status, exchange.body), (200, b'yes'))
+        self.assertEqual(exchange.headers[b'ragwort-verdict'], b'ran')
+        self.assertEqual(exchange.headers[b'ragwort-version'], b'3')
+
+    async def test_refusals(self) -> None:
+        """Each kind of bad request has its cause."""
+        cases = {
+            'no-route': {'path': '/none'},
+            'body-too-large': {'body': b'x' * 101},
+            'bad-request': {'headers': ((b'ragwort-timeout-ms', b'soon'),)},
+        }
+        for cause, arguments in cases.items():
+            exchange = await self._send(**{'path': '/slips', **arguments})
+            self.assertEqual(exchange.cause, cause)
+            self.assertEqual(exchange.headers[b'ragwort-verdict'], b'not-run')
+        self.assertEqual(self.dispatcher.calls, [])
+
+    async def test_more_malformed_headers(self) -> None:
+        """Negative timeouts and odd keys and lengths are refused."""
+        for name, text in (
+            (b'ragwort-timeout-ms', b'-5'),
+            (b'idempotency-key', b''),
+            (b'idempotency-key', b'k' * 300),
+            (b'idempotency-key', b'\xff'),
+            (b'content-length', b'many'),
+            (b'ragwort-rank', b'\xff'),
+        ):
+            exchange = await self._send('/slips', headers=((name, text),))
+            self.assertEqual(exchange.cause, 'bad-request', name)
+
+    async def test_not_ready(self) -> None:
+        """Without a configuration nothing is served."""
+        self.snapshot = None
+        exchange = await self._send('/slips')
+        self.assertEqual(exchange.cause, 'no-configuration')
+
+    async def test_leaving(self) -> None:
+        """A leaving daemon refuses at once and says when to come back."""
+        self.front.is_leaving = True
+        exchange = await self._send('/slips')
+        self.assertEqual(exchange.cause, 'leaving')
+        self.assertIn(b'retry-after', exchange.headers)
+
+    async def test_too_many_in_flight(self) -> None:
+        """Beyond the limit requests are refused, not queued."""
+        limits = LimitSettings(max_in_flight=1)
+        self.front._limits = limits  # noqa: WPS437
+        self.dispatcher.duration_s = 0.2
+        exchanges: list[_Exchange] = []
+
+        async def send() -> None:
+            exchanges.append(await self._send('/slips'))
+
+        async with anyio.create_task_group() as tasks:
+            for _ in range(3):
+                tasks.start_soon(send)
+        causes = sorted(exchange.cause for exchange in exchanges)
+        self.assertEqual(causes, ['', 'overloaded', 'overloaded'])
+
+    async def test_rank_may_be_lowered_only(self) -> None:
+        """A caller may ask for a less urgent rank, never a higher one."""
+        await self._send('/slips', headers=((b'ragwort-rank', b'bulk'),))
+        await self._send('/exports', headers=((b'ragwort-rank', b'urgent'),))
+        await self._send('/slips', headers=((b'ragwort-rank', b'unknown'),))
+        ranks = [call.rank.name for call in self.dispatcher.calls]
+        self.assertEqual(ranks, ['bulk', 'bulk', 'urgent'])
+
+    async def test_caller_gone_cancels(self) -> None:
+        """A request whose caller leaves is cancelled within a second."""
+        self.dispatcher.duration_s = 30
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.front.watch)
+            with anyio.fail_after(2):
+                await self._send('/slips', leave_after_s=0.2)
+            tasks.cancel_scope.cancel()
+        self.assertEqual(self.front.in_flight, 0)
+
+    async def test_failure_inside_is_honest(self) -> None:
+        """An error of our own leaves open whether the request ran."""
+        self.dispatcher.error = RuntimeError('bug')
+        exchange = await self._send('/slips')
+        self.assertEqual(exchange.status, 500)
+        self.assertEqual(exchange.headers[b'ragwort-verdict'], b'may-have-run')
+
+    async def _send(
+        self,
+        path: str,
+        body: bytes = b'',
+        headers: tuple[tuple[bytes, bytes], ...] = (),
+        leave_after_s: float | None = None,
+    ) -> _Exchange:
+        exchange = _Exchange(body, leave_after_s)
+        scope = {
+            'method': 'GET',
+            'path': path,
+            'raw_path': path.encode(),
+            'query_string': b'',
+            'headers': list(headers),
+        }
+        await self.front(scope, exchange.receive, exchange.send)
+        return exchange
+
+
+class AnswersTest(unittest.TestCase):
+    """Outcomes become HTTP answers."""
+
+    def test_every_cause_has_an_answer(self) -> None:
+        """Each cause renders with its verdict, as refusal and as unknown."""
+        for cause in Cause:
+            outcomes: tuple[Outcome, ...] = (Refused(cause), Unknown(cause))
+            for outcome in outcomes:
+                answered = render(outcome, RequestId('r'), Version(1))
+                headers = dict(answered.headers)
+                self.assertGreaterEqual(answered.status, 400)
+                self.assertEqual(
+                    headers[b'ragwort-cause'].decode(), cause.value
+                )
+                verdict = Verdict(headers[b'ragwort-verdict'].decode())
+                self.assertIs(verdict, outcome.verdict)
+
+    def test_time_to_come_back(self) -> None:
+        """A refusal says in whole seconds and in ms when to come back."""
+        outcome = Refused(Cause.OVERLOADED, 1.25)
+        headers = dict(render(outcome, RequestId('r'), Version(1)).headers)
+        self.assertEqual(headers[b'retry-after'], b'2')
+        self.assertEqual(headers[b'ragwort-retry-after-ms'], b'1250')
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -7,7 +7,7 @@
 from ragwortstand.ids import HostId, RegionName, ServiceName, ZoneName
 from ragwortstand.peers.homes import Homes
 from ragwortstand.peers.members import Members
-from ragwortstand.peers.messages import MemberState, StoreView
+from ragwortstand.peers.messages import MemberState
 from ragwortstand.settings import MembershipSettings
 from tests.fakes import member
 
@@ -123,14 +123,14 @@
     def setUp(self) -> None:
         """Start with six members, ready since time 0."""
         self.members = _members()
-        self.homes = Homes(self.members, 'a', window_s=60)
+        self.homes = Homes(self.members, window_s=60)
         self.homes.note_ready(is_ready=True, now_s=0)
 
     def test_each_key_has_one_home(self) -> None:
         """All daemons agree on the home of a key."""
         other = Members(member('h3'), _SETTINGS, 0)
         other.merge([member(f'h{one}') for one in range(6)], 0)
-        others = Homes(other, 'a', window_s=60)
+        others = Homes(other, window_s=60)
         for key in _KEYS:
             self.assertEqual(
                 self.homes.home(_CONSULT, key), others.home(_CONSULT, key)
@@ -156,25 +156,12 @@
         key = self._key_of('h1')
         self.members.merge([member('h1', state=MemberState.DEAD)], 70)
         self.assertFalse(self.homes.is_in_doubt(_CONSULT, key, 71))
-        self.homes.note_store(HostId('h2'), StoreView(True, 5.0), 80)
+        self.homes.note_report(5.0, 80)
         self.assertTrue(self.homes.is_in_doubt(_CONSULT, key, 81))
         self.assertFalse(self.homes.is_in_doubt(_CONSULT, key, 136))
         own = self._own_key()
         self.assertFalse(self.homes.is_in_doubt(_CONSULT, own, 81))
 
-    def test_store_out_for_all(self) -> None:
-        """One peer that reaches the store refutes an outage."""
-        self.homes.note_store(HostId('h1'), StoreView(False), 10)
-        self.assertTrue(self.homes.is_store_out_for_all(11))
-        self.homes.note_store(HostId('h2'), StoreView(True), 10)
-        self.assertFalse(self.homes.is_store_out_for_all(11))
-
-    def test_cut_off_from_the_store_region(self) -> None:
-        """A daemon that sees nobody near the store cannot tell."""
-        homes = Homes(self.members, 'elsewhere', window_s=60)
-        homes.note_store(HostId('h1'), StoreView(False), 10)
-        self.assertFalse(homes.is_store_out_for_all(11))
-
     def _own_key(self) -> str:
         return self._key_of('h0')
 
--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -81,9 +81,10 @@
 
     def __init__(self, platform: FakePlatform, host: str, *, window_s: float):
         self.backend = _FakeBackendServer()
+        self.is_store_out = True
         self.claims = ClaimTable(platform)
         self.members = Members(member(host), MembershipSettings(), 0)
-        self.homes = Homes(self.members, 'a', window_s)
+        self.homes = Homes(self.members, window_s)
         self.homes.note_ready(is_ready=True, now_s=anyio.current_time())
         self.runner = OnceRunner(
             HostId(host),
@@ -91,8 +92,12 @@
             self.claims,
             self.homes,
             window_s=60,
+            is_store_out=self._is_store_out,
         )
 
+    async def _is_store_out(self) -> bool:
+        return self.is_store_out
+
 
 class OnceRunnerTest(unittest.IsolatedAsyncioTestCase):
     """A key runs at most once, whatever is lost on the way."""
@@ -188,6 +193,14 @@
         self.assertEqual(outcome, Unknown(Cause.CLAIM_UNAVAILABLE))
         self.assertEqual(young.backend.runs, 0)
 
+    async def test_cut_off_home_does_not_run(self) -> None:
+        """A home that alone misses the store does not run from memory."""
+        self.first.is_store_out = False
+        self.platform.is_out = True
+        outcome = await self.first.runner.run(_call())
+        self.assertEqual(outcome, Unknown(Cause.CLAIM_UNAVAILABLE))
+        self.assertEqual(self.first.backend.runs, 0)
+
     async def test_outage_over_the_young_home_runs(self) -> None:
         """After the outage the same repetition runs under its claim."""
         young = _Daemon(self.platform, 'h3', window_s=60)
@@ -195,6 +208,7 @@
         self.platform.is_out = True
         await young.runner.run(_call())
         self.platform.is_out = False
+        await anyio.sleep(0.6)
         self.assertEqual(await young.runner.run(_call()), _ANSWER)
 
     async def test_not_the_home(self) -> None:
