Measure control cost against the size of the fleet

`policies.distribution: poll` is the baseline in which each daemon reads the whole configuration from the store.

--- a/src/ragwortstand/commands.py
+++ b/src/ragwortstand/commands.py
@@ -4,6 +4,9 @@
 import enum
 import sys
 from importlib import metadata
+from typing import TypeAlias
+
+Commands: TypeAlias = 'argparse._SubParsersAction[argparse.ArgumentParser]'
 
 
 class ExitCode(enum.IntEnum):
--- a/src/ragwortstand/daemon.py
+++ b/src/ragwortstand/daemon.py
@@ -170,7 +170,7 @@
             self._acceptance,
             self._members,
             self._links,
-            settings.platform,
+            settings,
             self._metrics,
             self._log,
             self._rng,
--- a/src/ragwortstand/metrics.py
+++ b/src/ragwortstand/metrics.py
@@ -86,6 +86,12 @@
             ('kind', 'outcome'),
             registry=registry,
         )
+        self.platform_bytes = Counter(
+            'ragwort_platform_bytes',
+            'Bytes of bodies and paths exchanged with the platform',
+            ('direction',),
+            registry=registry,
+        )
         self.versions_refused = Counter(
             'ragwort_versions_refused',
             'Offered versions that did not come into force',
--- a/src/ragwortstand/operators/cli.py
+++ b/src/ragwortstand/operators/cli.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from ragwortstand import api
-from ragwortstand.commands import ExitCode, add_version, report
+from ragwortstand.commands import Commands, ExitCode, add_version, report
 from ragwortstand.ids import NO_VERSION, SubmissionId, Version
 from ragwortstand.operators import render
 from ragwortstand.operators.client import (
@@ -233,7 +233,7 @@
 
 
 def _add(
-    commands: 'argparse._SubParsersAction[argparse.ArgumentParser]',
+    commands: Commands,
     name: str,
     command: Command,
     text: str,
@@ -250,7 +250,7 @@
 
 
 def _add_submissions(
-    commands: 'argparse._SubParsersAction[argparse.ArgumentParser]',
+    commands: Commands,
 ) -> None:
     check = _add(commands, 'check', _check, 'list the faults of a file')
     check.add_argument('file', help='JSON file, or - for standard input')
@@ -279,7 +279,7 @@
 
 
 def _add_questions(
-    commands: 'argparse._SubParsersAction[argparse.ArgumentParser]',
+    commands: Commands,
 ) -> None:
     _add(commands, 'status', _status, 'show the state of one daemon')
     wait = _add(commands, 'wait', _wait, 'wait until a version is in force')
--- a/src/ragwortstand/peers/distribution.py
+++ b/src/ragwortstand/peers/distribution.py
@@ -31,7 +31,7 @@
     VersionContent,
 )
 from ragwortstand.platform import Acceptance, VersionRecord
-from ragwortstand.settings import PlatformSettings
+from ragwortstand.settings import DaemonSettings
 from ragwortstand.versions import Offer, Snapshot, VersionGate
 
 _FANOUT = 4
@@ -49,7 +49,7 @@
     :param acceptance: reads accepted versions from the platform.
     :param members: the list of members.
     :param links: links to the other daemons.
-    :param settings: where the store is and how often it is read.
+    :param settings: where the store is, and how versions are to travel.
     :param metrics: counts refused versions.
     :param log: tells of applied and refused versions.
     :param rng: source of randomness.
@@ -61,7 +61,7 @@
         acceptance: Acceptance,
         members: Members,
         links: Links,
-        settings: PlatformSettings,
+        settings: DaemonSettings,
         metrics: Metrics,
         log: EventLog,
         rng: random.Random,
@@ -71,13 +71,14 @@
         self._acceptance = acceptance
         self._members = members
         self._links = links
-        self._settings = settings
+        self._platform = settings.platform
+        self._is_pushing = settings.policies.distribution == 'push'
+        self._step = self._poll if self._is_pushing else self._poll_whole
         self._metrics = metrics
         self._log = log
         self._rng = rng
         self._tasks: TaskGroup | None = None
         self._is_fetching = False
-        self._newest_heard = NO_VERSION
         self.is_settled = False
         gate.subscribe(self._on_applied)
 
@@ -88,8 +89,8 @@
             await self._settle()
             while True:
                 jitter = self._rng.uniform(0.9, 1.1)
-                await anyio.sleep(self._settings.poll_interval_s * jitter)
-                await self._poll()
+                await anyio.sleep(self._platform.poll_interval_s * jitter)
+                await self._step()
 
     def heard(self, version: Version, address: PeerAddress) -> None:
         """Fetch a version from a peer that holds a newer one.
@@ -97,10 +98,9 @@
         :param version: the version that the peer holds.
         :param address: where the peer listens.
         """
-        self._newest_heard = max(self._newest_heard, version)
         if version <= self._gate.version or self._is_fetching:
             return
-        if self._tasks:
+        if self._tasks and self._is_pushing:
             self._is_fetching = True
             self._tasks.start_soon(self._fetch_in_turn, version, address)
 
@@ -186,6 +186,13 @@
                 return True
         return await self._fetch_from_store(record)
 
+    async def _poll_whole(self) -> None:
+        """Read the head row and the whole content; the baseline."""
+        with contextlib.suppress(PlatformError):
+            head = await self._acceptance.head()
+            if head:
+                await self._fetch_from_store(head)
+
     async def _poll(self) -> None:
         """Read the head row where this daemon is a reader."""
         position = self._reader_position()
@@ -205,14 +212,14 @@
     def _reader_position(self) -> int | None:
         own = self._members.own
         region = own.region
-        if region != self._settings.region and self._sees_store_region():
+        if region != self._platform.region and self._sees_store_region():
             return None
         readers = self._members.leaders('reader', _READERS, region=region)
         return readers.index(own) if own in readers else None
 
     def _sees_store_region(self) -> bool:
         return any(
-            peer.region == self._settings.region
+            peer.region == self._platform.region
             for peer in self._members.peers()
         )
 
@@ -266,7 +273,7 @@
         self._log.emit(
             Event.APPLIED, version=snapshot.version, digest=snapshot.digest
         )
-        if self._tasks is None:
+        if self._tasks is None or not self._is_pushing:
             return
         for peer in self._push_targets():
             self._tasks.start_soon(self._offer, snapshot.version, peer)
--- a/src/ragwortstand/platform/client.py
+++ b/src/ragwortstand/platform/client.py
@@ -115,6 +115,7 @@
             problem = f'{method} {path} answered {answer.status}'
             raise self._failure(kind, problem, Verdict.NOT_RUN)
         self._succeeded(kind)
+        self._count(len(path) + len(body), len(answer.content))
         return answer
 
     def _failure(
@@ -130,6 +131,11 @@
         self.on_failure(anyio.current_time())
         return PlatformError(problem, verdict)
 
+    def _count(self, sent_bytes: int, received_bytes: int) -> None:
+        counter = self._metrics.platform_bytes
+        counter.labels('sent').inc(sent_bytes)
+        counter.labels('received').inc(received_bytes)
+
     def _succeeded(self, kind: str) -> None:
         self._metrics.platform_calls.labels(kind, 'ok').inc()
         if not self.is_reachable:
--- a/src/ragwortstand/settings.py
+++ b/src/ragwortstand/settings.py
@@ -124,11 +124,14 @@
     :param admission: order in which queued requests get slots.
     :param choice: choice of the backend server.
     :param retry: when a failed request is tried elsewhere.
+    :param distribution: how versions reach a daemon; ``poll`` reads the whole
+        configuration from the store at each interval.
     """
 
     admission: Literal['shares', 'fifo'] = 'shares'
     choice: Literal['signals', 'random'] = 'signals'
     retry: Literal['budget', 'naive'] = 'budget'
+    distribution: Literal['push', 'poll'] = 'push'
 
 
 class DaemonSettings(StrictModel):
--- a/src/ragwortstand/tools/fleet.py
+++ b/src/ragwortstand/tools/fleet.py
@@ -114,14 +114,19 @@
 
     def start(self) -> None:
         """Start the platform, then all daemons and backend servers."""
+        self.start_daemons()
+        for node in self.nodes.values():
+            self.spawn_server(node)
+        for node in self.nodes.values():
+            self.await_server(node)
+
+    def start_daemons(self) -> None:
+        """Start the platform and all daemons, without backend servers."""
         self.start_platform()
         for node in self.nodes.values():
             self.spawn_daemon(node)
         for node in self.nodes.values():
             self.await_daemon(node)
-            self.spawn_server(node)
-        for node in self.nodes.values():
-            self.await_server(node)
 
     def start_platform(self) -> None:
         """Start the stand-in for the platform."""
--- a/src/ragwortstand/tools/load_cli.py
+++ b/src/ragwortstand/tools/load_cli.py
@@ -8,13 +8,14 @@
 
 import msgspec
 
-from ragwortstand.commands import ExitCode, add_version, report
+from ragwortstand.commands import Commands, ExitCode, add_version, report
 from ragwortstand.exceptions import RagwortstandError
 from ragwortstand.tools.audit import rank_report
 from ragwortstand.tools.background import BackgroundLoad
 from ragwortstand.tools.experiments import EXPERIMENTS, run_experiment
 from ragwortstand.tools.gain import measure_gain
 from ragwortstand.tools.load import Plan
+from ragwortstand.tools.scale import measure_scale
 
 
 def main(arguments: Sequence[str] | None = None) -> int:
@@ -52,6 +53,14 @@
         return measure_gain(pathlib.Path(folder), options.calls, options.client)
 
 
+def _scale(options: argparse.Namespace) -> object:
+    with tempfile.TemporaryDirectory(prefix='ragwort-scale-') as folder:
+        reports = measure_scale(
+            options.sizes, pathlib.Path(folder), options.distribution
+        )
+    return {'sizes': reports}
+
+
 def _experiment(options: argparse.Namespace) -> object:
     return run_experiment(
         options.name,
@@ -73,12 +82,29 @@
     run.add_argument('plan', help='JSON file: duration_s, streams, seed')
     run.add_argument('--url', action='append', required=True)
     run.add_argument('--name', default='load', help='prefix of request tags')
+    _add_measurements(commands)
+    _add_experiment(commands)
+    return parser
+
+
+def _add_measurements(commands: Commands) -> None:
     gain = commands.add_parser('gain', help='measure the added latency')
     gain.set_defaults(run=_gain)
     gain.add_argument('--calls', type=int, default=5000)
     gain.add_argument(
         '--client', choices=('httptools', 'httpcore'), default='httptools'
     )
+    scale = commands.add_parser(
+        'scale', help='measure control cost against the size of the fleet'
+    )
+    scale.set_defaults(run=_scale)
+    scale.add_argument('--sizes', type=int, nargs='+', default=(18, 60))
+    scale.add_argument(
+        '--distribution', choices=('push', 'poll'), default='push'
+    )
+
+
+def _add_experiment(commands: Commands) -> None:
     experiment = commands.add_parser(
         'experiment', help='compare the policy with its baseline'
     )
@@ -87,7 +113,6 @@
     experiment.add_argument('--example', default='examples/fichier')
     experiment.add_argument('--seed', type=int, default=1)
     experiment.add_argument('--report', required=True, metavar='DIR')
-    return parser
 
 
 if __name__ == '__main__':
--- a/src/ragwortstand/tools/processes.py
+++ b/src/ragwortstand/tools/processes.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import json
+import os
 import pathlib
 import signal
 import subprocess
@@ -57,6 +58,18 @@
         """Return whether the process has not ended."""
         return self._popen.poll() is None
 
+    @property
+    def cpu_s(self) -> float:
+        """Return the processor time that the process has used."""
+        fields = self._stat('stat').rpartition(')')[2].split()
+        return (int(fields[11]) + int(fields[12])) / os.sysconf('SC_CLK_TCK')
+
+    @property
+    def memory_bytes(self) -> int:
+        """Return the resident memory of the process."""
+        pages = int(self._stat('statm').split()[1])
+        return pages * os.sysconf('SC_PAGE_SIZE')
+
     @property
     def pid(self) -> int:
         """Return the process id."""
@@ -103,6 +116,9 @@
         """Let a frozen process go on."""
         self._popen.send_signal(signal.SIGCONT)
 
+    def _stat(self, name: str) -> str:
+        return pathlib.Path(f'/proc/{self.pid}/{name}').read_text()
+
 
 class LinkProcess:
     """A running TCP relay.
