Repair lists of members, silent platform connections and false "in force"

(2) A fleet of one told "in force" half a second before it served. (3) A silent connection to the platform failed an operator's read. (4) A lost zone was found member by member. (5) Ports chosen by bind-and-release collided.

Change: a probe carries up to 40 news and a digest of the list; lists that differ for 8 s are fetched whole. A version counts as in force once its daemon serves. The platform client drops all its connections after a timeout and repeats reads once. A bridge that lost three members of a zone in a row suspects the zone. A herd's first reads spread by the number of dead members. A late event loop holds each rank to its guaranteed part of the admissions. The rest of a deadline travels to the backend server, TCP probes end connections to it that are out of reach. Test ports are reserved.

Ruled out: cutting requests that take long on an open connection, which would cut slow ones too; a relay on one machine cannot show the kernel's probes.

--- a/features/configuration.feature
+++ b/features/configuration.feature
@@ -83,3 +83,19 @@
     When the daemon of host 3 is frozen
     And an operator submits a version
     Then host 3 is named as silent for version 2
+
+  Scenario: Connections to the platform go silent
+    Given a fleet of 2 hosts in 1 regions behind relays
+    And version 1 is in force
+    When connections to the platform go silent
+    And an operator submits a version
+    Then the submission is accepted
+    And version 2 is in force everywhere within 10 s
+
+  Scenario: A daemon without peers in sight gets the version when they return
+    Given a fleet of 6 hosts in 3 regions behind relays
+    And version 1 is in force
+    When nobody reaches the daemon of host 4
+    And an operator submits a version
+    And the daemon of host 4 is reached again
+    Then version 2 is in force everywhere within 10 s
--- a/features/environment.py
+++ b/features/environment.py
@@ -20,7 +20,7 @@
     """End all processes; keep the folder of a failed scenario."""
     if context.fleet:
         context.fleet.close()
-    if scenario.status.is_failure():
+    if scenario.status.name in {'failed', 'error'}:
         print(f'logs and journals: {context.folder}')
     else:
         shutil.rmtree(context.folder, ignore_errors=True)
--- a/features/membership.feature
+++ b/features/membership.feature
@@ -23,12 +23,21 @@
     Then host 4 is alive for all others within 5 s
     And all 6 hosts are ready within 5 s
 
-  Scenario: A daemon that only some can reach is not taken for dead
+  Scenario: At rest nobody is taken for dead
     Given a fleet of 6 hosts in 3 regions
     And version 1 is in force
     When 6 s pass
     Then no daemon has taken a living one for dead
 
+  Scenario: A daemon that nobody reaches comes back
+    Given a fleet of 6 hosts in 3 regions behind relays
+    And version 1 is in force
+    When nobody reaches the daemon of host 4
+    And 6 s pass
+    And the daemon of host 4 is reached again
+    Then host 4 is alive for all others within 10 s
+    And all 6 hosts are ready within 10 s
+
   Scenario: A herd dies and returns
     Given a fleet of 12 hosts in 3 regions
     And version 1 is in force
--- a/features/requests.feature
+++ b/features/requests.feature
@@ -147,3 +147,26 @@
       | request      | size    | status | cause          |
       | GET /nowhere | 0       | 404    | no-route       |
       | POST /urgent | 1100000 | 413    | body-too-large |
+
+  Scenario: Bytes that are no HTTP harm nobody
+    Given a fleet of 1 hosts in 1 regions
+    And version 1 is in force
+    And 50 urgent requests a second for 2 s
+    When a caller sends bytes that are no HTTP to host 1
+    And all load has ended
+    Then the raw answer is a 400
+    And every request was answered
+    And no promise was broken
+
+  Scenario: A caller leaves while its request runs
+    Given a fleet of 1 hosts in 1 regions
+    And version 1 is in force
+    When a caller sends a request of 20 s to host 1 and leaves
+    Then the backend servers have cancelled 1 request within 1 s
+
+  Scenario: Calls go deep while a backend server is down
+    Given a fleet of 3 hosts in 1 regions
+    And version 1 is in force
+    When the backend server of host 2 is killed
+    And 30 calls go 15 deep
+    Then all attempts together stay under 1.2 times the calls
--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -186,12 +186,26 @@
     link.set(LinkMode.PASS)
 
 
-@when('the daemon of host {number:d} is cut off from its peers')
+@when('connections to the platform go silent')
+def freeze_platform_link(context):
+    """Freeze the open connections to the platform; new ones work."""
+    link = context.fleet.platform_relay
+    link.set(LinkMode.FREEZE)
+    link.set(LinkMode.PASS)
+
+
+@when('nobody reaches the daemon of host {number:d}')
 def cut_link(context, number):
     """Let no connection reach a daemon's peer side."""
     host_of(context, number).link.set(LinkMode.CUT)
 
 
+@when('the daemon of host {number:d} is reached again')
+def heal_link(context, number):
+    """Let connections reach a daemon's peer side again."""
+    host_of(context, number).link.set(LinkMode.PASS)
+
+
 @when('{duration:g} s pass')
 def wait_a_while(context, duration):
     """Wait."""
--- a/features/steps/load_steps.py
+++ b/features/steps/load_steps.py
@@ -1,5 +1,8 @@
 """Steps that send load and compare what callers and servers saw."""
 
+import contextlib
+import re
+import socket
 import threading
 import time
 
@@ -10,6 +13,7 @@
 from ragwortstand.tools.audit import audit, rank_report, read_journals
 from ragwortstand.tools.background import BackgroundLoad
 from ragwortstand.tools.load import Plan, Stream
+from ragwortstand.tools.processes import wait_until
 
 _SEED = 5
 _STREAMS = {
@@ -161,6 +165,86 @@
     )
 
 
+@when('a caller sends a request of 20 s to host {number:d} and leaves')
+def leave_early(context, number):
+    """Send a long request and close the connection soon after."""
+    url = host_of(context, number).url
+    timeouts = dict.fromkeys(('connect', 'read', 'write', 'pool'), 0.4)
+    headers = {'standin-service-ms': '20000'}
+    with contextlib.suppress(httpcore.ReadTimeout):
+        httpcore.request(
+            'GET',
+            f'{url}/bulk/long',
+            headers=headers,
+            extensions={'timeout': timeouts},
+        )
+
+
+@then('the backend servers have cancelled {count:d} request within {limit:g} s')
+def cancelled(context, count, limit):
+    """The cancellation reached the backend server."""
+
+    def is_cancelled():
+        lines = read_journals(context.fleet.journals())
+        found = [line for line in lines if line.entry == 'cancelled']
+        return len(found) == count
+
+    wait_until(is_cancelled, limit, f'{count} cancelled')
+
+
+@when('{count:d} calls go {depth:d} deep')
+def deep_calls(context, count, depth):
+    """Send calls whose backend servers call on, one level after another."""
+    context.calls = count * depth
+    nodes = context.fleet.running()
+    deeper = ','.join('/urgent/deeper' for _ in range(depth - 1))
+    before = _attempts(context.fleet)
+    for number in range(count):
+        url = nodes[number % len(nodes)].url
+        httpcore.request(
+            'GET',
+            f'{url}/urgent/top',
+            headers={
+                'standin-deeper': deeper,
+                'standin-tag': f'deep-{number}',
+                'ragwort-timeout-ms': '5000',
+            },
+        )
+    context.attempts = _attempts(context.fleet) - before
+
+
+@then('all attempts together stay under {factor:g} times the calls')
+def few_attempts(context, factor):
+    """Retries of one layer do not multiply over the others."""
+    print(f'{context.attempts} attempts for {context.calls} calls')
+    assert 0 < context.attempts < context.calls * factor
+
+
+def _attempts(fleet):
+    total = 0
+    for node in fleet.running():
+        with node.admin() as client:
+            text = client.metrics()
+        pattern = r'^ragwort_(?:offered|retries)_total\{.*\} (\S+)$'
+        total += sum(map(float, re.findall(pattern, text, re.MULTILINE)))
+    return total
+
+
+@when('a caller sends bytes that are no HTTP to host {number:d}')
+def send_nonsense(context, number):
+    """Send nonsense over a plain connection."""
+    port = host_of(context, number).callers_port
+    with socket.create_connection(('127.0.0.1', port), timeout=5) as stream:
+        stream.sendall(b'\x00\x01 nonsense\r\n\r\n' * 1000)
+        context.raw_answer = stream.recv(1000)
+
+
+@then('the raw answer is a 400')
+def raw_answer_is_refusal(context):
+    """Malformed HTTP is answered and the connection closed."""
+    assert b' 400 ' in context.raw_answer, context.raw_answer
+
+
 @then('the answer is {status:d} with verdict {verdict} and cause {cause}')
 def answer_is(context, status, verdict, cause):
     """The answer has a status, a verdict and a cause."""
--- a/src/ragwortstand/backend_servers/clients.py
+++ b/src/ragwortstand/backend_servers/clients.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import socket
 from typing import cast
 
 import anyio
@@ -21,6 +22,12 @@
 from ragwortstand.verdicts import Answered, Header, Verdict
 
 CONNECT_TIMEOUT_S = 1.0
+# Seconds of silence before a probe and between probes, and how many.
+_KEEPALIVE = (
+    (socket.TCP_KEEPIDLE, 1),
+    (socket.TCP_KEEPINTVL, 1),
+    (socket.TCP_KEEPCNT, 3),
+)
 
 
 class HttptoolsConnection(asyncio.Protocol):
@@ -93,6 +100,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the open transport."""
         self._transport = cast(asyncio.Transport, transport)
+        _watch_connection(transport.get_extra_info('socket'))
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the exchange that was under way."""
@@ -253,6 +261,15 @@
     return b''.join(lines)
 
 
+def _watch_connection(connection: socket.socket | None) -> None:
+    """Let the kernel end a connection whose other end is out of reach."""
+    if connection is None:
+        return
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for option, amount in _KEEPALIVE:
+        connection.setsockopt(socket.IPPROTO_TCP, option, amount)
+
+
 def _ignore_failure(closing: 'asyncio.Future[None]') -> None:
     if not closing.cancelled():
         closing.exception()
--- a/src/ragwortstand/backend_servers/server.py
+++ b/src/ragwortstand/backend_servers/server.py
@@ -195,9 +195,15 @@
         with anyio.CancelScope(deadline=call.deadline_s):
             return await self._queue(call, claim or _no_claim)
         if call.is_dispatched:
+            self._drop_idle_connections()
             return Unknown(Cause.DEADLINE)
         return Refused(Cause.DEADLINE)
 
+    def _drop_idle_connections(self) -> None:
+        """Close idle connections, which may have gone silent like one."""
+        if self._pool:
+            self._pool.close()
+
     def _refusal(self, call: Call) -> Refused | None:
         if self.state is BackendState.DRAINING:
             return Refused(Cause.LEAVING)
@@ -273,7 +279,9 @@
         flights.calls[id(call)] = call
         call.is_dispatched = True
         try:
-            answered = await connection.exchange(_wire_request(call))
+            answered = await connection.exchange(
+                wire_request(call, anyio.current_time())
+            )
         except BackendServerError as error:
             if error.verdict is Verdict.NOT_RUN:
                 call.is_dispatched = False
@@ -318,8 +326,7 @@
         await self.on_crash(suspects)
 
     def _restart(self, announcement: Announcement, now_s: float) -> None:
-        if self._pool:
-            self._pool.close()
+        self._drop_idle_connections()
         endpoint = Endpoint(announcement.address, announcement.port)
         self._pool = ConnectionPool(
             _CONNECTS[self._settings.client],
@@ -347,8 +354,18 @@
         self.on_change()
 
 
-def _wire_request(call: Call) -> WireRequest:
+def wire_request(call: Call, now_s: float) -> WireRequest:
+    """Return a call as the backend server gets it.
+
+    The rest of the deadline, the rank and the attempt travel with it, so that
+    the backend server can pass them on with the calls it makes itself.
+
+    :param call: the request.
+    :param now_s: present time.
+    """
+    remaining_ms = int(call.remaining_s(now_s) * 1000)
     extra = (
+        (b'ragwort-timeout-ms', b'%d' % max(1, remaining_ms)),
         (b'ragwort-request-id', call.request_id.encode()),
         (b'ragwort-attempt', b'%d' % call.attempt),
         (b'ragwort-rank', call.rank.name.encode()),
--- a/src/ragwortstand/callers/front.py
+++ b/src/ragwortstand/callers/front.py
@@ -10,6 +10,7 @@
 from ragwortstand.backend_servers import end_to_end
 from ragwortstand.callers.answers import render
 from ragwortstand.callers.dispatch import Dispatcher
+from ragwortstand.callers.overload import OverloadGuard
 from ragwortstand.calls import Call
 from ragwortstand.events import Event, EventLog
 from ragwortstand.exceptions import CallerGoneError, RequestTooLargeError
@@ -62,6 +63,7 @@
     :param snapshot: returns the configuration in force, None while this
         daemon is not ready.
     :param dispatcher: sends requests to backend servers.
+    :param guard: sheds load when the daemon is late.
     :param limits: bounds on requests.
     :param metrics: counts requests by rank and verdict.
     :param log: tells of refusals and of outcomes that are not known.
@@ -71,6 +73,7 @@
         self,
         snapshot: Callable[[], Snapshot | None],
         dispatcher: Dispatcher,
+        guard: OverloadGuard,
         limits: LimitSettings,
         metrics: Metrics,
         log: EventLog,
@@ -78,6 +81,7 @@
         """Start without visits."""
         self._snapshot = snapshot
         self._dispatcher = dispatcher
+        self._guard = guard
         self._limits = limits
         self._metrics = metrics
         self._log = log
@@ -148,6 +152,8 @@
         await _send(render(outcome, request_id, version), send)
 
     async def _dispatch(self, call: Call) -> Outcome:
+        if not self._guard.admits(call.rank.name):
+            return Refused(Cause.OVERLOADED, _OVERLOAD_RETRY_S)
         try:
             return await self._dispatcher.dispatch(call)
         except Exception as error:
--- a/src/ragwortstand/daemon.py
+++ b/src/ragwortstand/daemon.py
@@ -8,7 +8,7 @@
 from anyio.abc import TaskGroup
 
 from ragwortstand.backend_servers import BackendServer, BackendState
-from ragwortstand.callers import Dispatcher, Front, OnceRunner
+from ragwortstand.callers import Dispatcher, Front, OnceRunner, OverloadGuard
 from ragwortstand.events import Event, EventLog
 from ragwortstand.ids import (
     Fingerprint,
@@ -220,6 +220,10 @@
             ServiceName(call.service.name), call.fingerprint
         )
         self._gate.subscribe(self._backend_server.configure)
+        self._guard = OverloadGuard()
+        self._gate.subscribe(
+            lambda snapshot: self._guard.configure(snapshot.mesh.ranks)
+        )
         self._forwarder = Forwarder(self._links)
         self._claims = ClaimTable(self._platform)
         self._runner = OnceRunner(
@@ -244,6 +248,7 @@
         self._front = Front(
             self._snapshot,
             dispatcher,
+            self._guard,
             settings.limits,
             self._metrics,
             self._log,
@@ -259,7 +264,6 @@
             self._distributor,
             self._forwarded,
             self._store_watch,
-            self._gate,
             self._members,
             self._backend_server.crash_record,
         )
@@ -272,7 +276,7 @@
             gate=self._gate,
             metrics=self._metrics,
             log=self._log,
-            fleet=FleetReport(self._members, self._distributor, self._gate),
+            fleet=FleetReport(self._members, self._distributor),
             drain=self.drain,
             is_platform_reachable=lambda: self._platform.is_reachable,
         )
@@ -285,6 +289,7 @@
         for task in (
             self._serve_peers,
             self._front.watch,
+            self._guard.watch,
             self._joiner.run,
             self._gossip.run,
             self._distributor.run,
@@ -316,14 +321,17 @@
         while True:
             await anyio.sleep(_WATCH_LINKS_S)
             outage_age_s = self._homes.outage_age_s(anyio.current_time())
-            await self._links.watch(Ping(self._gate.version, outage_age_s))
+            ping = Ping(self._gate.version, outage_age_s, self._members.digest)
+            await self._links.watch(ping)
 
     async def _expire_backend_server(self) -> None:
         while True:
             await anyio.sleep(_EXPIRE_S)
             self._backend_server.expire(anyio.current_time())
-            for state, count in self._members.states().items():
-                self._metrics.members.labels(state.name.lower()).set(count)
+            states = self._members.states()
+            for state in MemberState:
+                gauge = self._metrics.members.labels(state.name.lower())
+                gauge.set(states[state])
 
     async def _leave(self) -> None:
         self.drain()
--- a/src/ragwortstand/operators/fleet_report.py
+++ b/src/ragwortstand/operators/fleet_report.py
@@ -15,7 +15,6 @@
 from ragwortstand.peers.members import Members
 from ragwortstand.peers.messages import Member
 from ragwortstand.platform import VersionRecord
-from ragwortstand.versions import VersionGate
 
 _ASKED_AT_ONCE = 64
 
@@ -25,19 +24,16 @@
 
     :param members: the list of members.
     :param distributor: asks members for their version.
-    :param gate: holds this daemon's version.
     """
 
     def __init__(
         self,
         members: Members,
         distributor: Distributor,
-        gate: VersionGate,
     ) -> None:
         """Keep the collaborators."""
         self._members = members
         self._distributor = distributor
-        self._gate = gate
 
     @property
     def own_host(self) -> HostId:
@@ -47,7 +43,7 @@
     @property
     def is_ready(self) -> bool:
         """Return whether this daemon has settled on a version."""
-        return self._distributor.is_settled and self._gate.version > 0
+        return self._distributor.version_in_force > 0
 
     def members(self) -> MembersReport:
         """Return all members as this daemon sees them."""
@@ -69,7 +65,7 @@
         :param version: the version to compare with.
         """
         held: dict[HostId, Version | None] = {
-            self._members.own.host: self._gate.version,
+            self._members.own.host: self._distributor.version_in_force,
         }
         limiter = anyio.CapacityLimiter(_ASKED_AT_ONCE)
 
--- a/src/ragwortstand/peers/distribution.py
+++ b/src/ragwortstand/peers/distribution.py
@@ -26,6 +26,7 @@
     AskApplied,
     FetchVersion,
     Member,
+    MemberState,
     NotHeld,
     OfferVersion,
     VersionContent,
@@ -40,6 +41,9 @@
 _ASKED_AT_START = 16
 _PEER_TIMEOUT_S = 2.0
 _RETRY_S = 0.5
+_HERD_READS_PER_S = 100
+_JOIN_WAIT_S = 0.5
+_JOIN_POLL_S = 0.05
 
 
 class Distributor:
@@ -82,6 +86,11 @@
         self.is_settled = False
         gate.subscribe(self._on_applied)
 
+    @property
+    def version_in_force(self) -> Version:
+        """Return the version that serves callers; 0 until one does."""
+        return self._gate.version if self.is_settled else NO_VERSION
+
     async def run(self) -> None:
         """Settle on a version, then follow newer ones until cancelled."""
         async with anyio.create_task_group() as tasks:
@@ -139,11 +148,23 @@
 
     async def _settle(self) -> None:
         """Find a version no older than the one served here before."""
+        with anyio.move_on_after(_JOIN_WAIT_S):
+            while not self._members.peers():  # noqa: ASYNC110
+                await anyio.sleep(_JOIN_POLL_S)
+        await anyio.sleep(self._herd_delay_s())
         while not self.is_settled:
             self.is_settled = await self._settle_once()
             if not self.is_settled:
                 await anyio.sleep(_RETRY_S * self._rng.uniform(0.5, 1.5))
 
+    def _herd_delay_s(self) -> float:
+        """Return a random delay that spreads the reads of a herd.
+
+        As many daemons as have died lately may be coming back together.
+        """
+        herd = len(self._members.departed(MemberState.DEAD))
+        return self._rng.uniform(0, herd / _HERD_READS_PER_S)
+
     async def _settle_once(self) -> bool:
         try:
             head = await self._acceptance.head()
--- a/src/ragwortstand/peers/gossip.py
+++ b/src/ragwortstand/peers/gossip.py
@@ -5,7 +5,7 @@
 each other zone of their region and one dead member of their zone, which finds
 hosts that came back while the platform's table was out. Two members of each
 region probe one member of each other region. News of members rides on the
-probes, as in SWIM.
+probes, as in SWIM, and a digest of the list shows what news has missed.
 """
 
 import random
@@ -15,7 +15,7 @@
 from anyio.abc import TaskGroup
 
 from ragwortstand.exceptions import PeerError
-from ragwortstand.ids import HostId, PeerAddress, Version
+from ragwortstand.ids import HostId, PeerAddress, Version, ZoneName
 from ragwortstand.peers.homes import Homes
 from ragwortstand.peers.links import Links
 from ragwortstand.peers.members import Members
@@ -37,6 +37,8 @@
 _JITTER = 0.1
 _PAUSE_FACTOR = 3.0
 _JOIN_TIMEOUT_S = 2.0
+_LOST_BEFORE_ZONE = 3
+_DIFFERENCE_S = 8.0
 
 VersionListener = Callable[[Version, PeerAddress], None]
 
@@ -73,10 +75,13 @@
         self._rng = rng
         self._round: list[HostId] = []
         self._tasks: TaskGroup | None = None
+        self._agreed_at_s = 0.0
+        self._unseen: dict[ZoneName, set[HostId]] = {}
 
     async def run(self) -> None:
         """Probe until cancelled."""
         interval_s = self._settings.probe_interval_s
+        self._agreed_at_s = anyio.current_time()
         async with anyio.create_task_group() as probes:
             self._tasks = probes
             before_s = anyio.current_time()
@@ -148,8 +153,14 @@
             self._members.vouch(sender, now_s)
             self._homes.note_report(ping.outage_age_s, now_s)
             self._on_version(ping.version, member.peer_address)
-        version = self._version_in_force()
-        return Pong(version, self._outage_age_s(), self._news_for(sender))
+        if member:
+            self._compare(ping.members_digest, member.peer_address)
+        return Pong(
+            self._version_in_force(),
+            self._outage_age_s(),
+            self._members.digest,
+            self._news_for(sender),
+        )
 
     async def on_indirect_ping(self, request: IndirectPing) -> IndirectPong:
         """Probe a third daemon for the sender."""
@@ -163,22 +174,57 @@
         self._members.merge([request.member], anyio.current_time())
         return MemberList(self._members.all(), self._version_in_force())
 
+    def _compare(self, digest: int, address: PeerAddress) -> None:
+        """Fetch a whole list when lists have differed for a while.
+
+        News is told a bounded number of times, so a list can miss some.
+
+        :param digest: digest of a peer's list.
+        :param address: where the peer listens.
+        """
+        now_s = anyio.current_time()
+        if digest == self._members.digest:
+            self._agreed_at_s = now_s
+        elif now_s - self._agreed_at_s > _DIFFERENCE_S and self._tasks:
+            self._agreed_at_s = now_s
+            self._tasks.start_soon(self.join, address)
+
     def _outage_age_s(self) -> float | None:
         return self._homes.outage_age_s(anyio.current_time())
 
     async def _probe(self, target: Member) -> None:
-        if await self._ping(target):
-            return
-        if await self._ping_indirectly(target):
+        is_seen = await self._ping(target)
+        if is_seen or await self._ping_indirectly(target):
+            self._unseen.pop(target.zone, None)
             return
         self._members.suspect(target.host, anyio.current_time())
+        if target.zone != self._members.own.zone:
+            self._suspect_zone(target)
         if target.state is MemberState.DEAD:
             self._links.forget(target.peer_address)
 
+    def _suspect_zone(self, target: Member) -> None:
+        """Suspect a whole zone when several of its members in turn are lost.
+
+        A bridge probes one member of a zone a second, so a lost zone would
+        otherwise be found member by member.
+
+        :param target: the member that was lost last.
+        """
+        unseen = self._unseen.setdefault(target.zone, set())
+        unseen.add(target.host)
+        if len(unseen) < _LOST_BEFORE_ZONE:
+            return
+        now_s = anyio.current_time()
+        for peer in self._members.peers():
+            if peer.zone == target.zone:
+                self._members.suspect(peer.host, now_s)
+
     async def _ping(self, target: Member) -> bool:
         ping = Ping(
             self._version_in_force(),
             self._outage_age_s(),
+            self._members.digest,
             self._news_for(target.host),
         )
         timeout_s = self._settings.probe_timeout_s
@@ -193,6 +239,7 @@
         self._members.vouch(target.host, now_s)
         self._homes.note_report(reply.outage_age_s, now_s)
         self._on_version(reply.version, target.peer_address)
+        self._compare(reply.members_digest, target.peer_address)
         return True
 
     async def _ping_indirectly(self, target: Member) -> bool:
--- a/src/ragwortstand/peers/handlers.py
+++ b/src/ragwortstand/peers/handlers.py
@@ -25,7 +25,6 @@
     Work,
 )
 from ragwortstand.peers.store_watch import StoreWatch
-from ragwortstand.versions import VersionGate
 
 
 class PeerHandlers:
@@ -35,7 +34,6 @@
     :param distributor: answers about versions.
     :param forwarded: runs forwarded requests.
     :param store_watch: tries the store for other daemons.
-    :param gate: holds the version in force.
     :param members: the list of members.
     :param crash_record: counts crashes by request.
     """
@@ -46,7 +44,6 @@
         distributor: Distributor,
         forwarded: ForwardedWork,
         store_watch: StoreWatch,
-        gate: VersionGate,
         members: Members,
         crash_record: CrashRecord,
     ) -> None:
@@ -55,7 +52,6 @@
         self._distributor = distributor
         self._forwarded = forwarded
         self._store_watch = store_watch
-        self._gate = gate
         self._members = members
         self._crash_record = crash_record
 
@@ -92,7 +88,7 @@
             case FetchVersion():
                 return self._distributor.on_fetch(request)
             case AskApplied():
-                return Applied(self._gate.version)
+                return Applied(self._distributor.version_in_force)
             case AskStore():
                 return await self._store_watch.on_ask()
             case OfferVersion():
--- a/src/ragwortstand/peers/joining.py
+++ b/src/ragwortstand/peers/joining.py
@@ -92,8 +92,7 @@
         unknown = [row for row in rows if self._is_unknown(row)]
         self._rng.shuffle(unknown)
         for row in unknown[:_MAX_JOINS]:
-            if await self._gossip.join(row.peer_address):
-                return
+            await self._gossip.join(row.peer_address)
 
     def _is_unknown(self, row: EntryPoint) -> bool:
         member = self._members.get(row.host)
--- a/src/ragwortstand/peers/members.py
+++ b/src/ragwortstand/peers/members.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
+import xxhash
 from msgspec.structs import replace
 
 from ragwortstand.ids import HostId, RegionName, ServiceName, ZoneName
@@ -11,7 +12,7 @@
 from ragwortstand.rendezvous import ranked
 from ragwortstand.settings import MembershipSettings
 
-_MAX_NEWS = 12
+_MAX_NEWS = 40
 _MIN_SHARES = 3
 _MASS_LOSS_SHARE = 0.5
 _MASS_LOSS_MIN = 4
@@ -31,6 +32,8 @@
     half of the members are suspected at once, this daemon is taken to be cut
     off: the suspects are kept, and the outcomes of calls decide.
 
+    `digest` is the same in lists with the same present members.
+
     :param own: this daemon.
     :param settings: times of suspicion and memory.
     :param now_s: present time.
@@ -49,6 +52,7 @@
         self._news: dict[HostId, int] = {own.host: 0}
         self._candidates: dict[ServiceName, tuple[Member, ...]] | None = None
         self._orders: dict[str, list[HostId]] = {}
+        self.digest = _fingerprint(own)
         self.on_change: Callable[[Member], None] = _ignore
         self.on_refute: Callable[[], None] = _nothing
 
@@ -223,6 +227,9 @@
 
     def _store(self, member: Member, now_s: float | None = None) -> None:
         entry = self._entries.get(member.host)
+        self.digest ^= _fingerprint(member)
+        if entry:
+            self.digest ^= _fingerprint(entry.member)
         if entry is None:
             self._entries[member.host] = _Entry(member, now_s or 0.0)
         else:
@@ -234,12 +241,24 @@
         self.on_change(member)
 
     def _forget(self, host: HostId) -> None:
-        self._entries.pop(host)
+        entry = self._entries.pop(host)
+        self.digest ^= _fingerprint(entry.member)
         self._news.pop(host, None)
         self._candidates = None
         self._orders.clear()
 
 
+def _fingerprint(member: Member) -> int:
+    """Return the part of a member in the digest of a list.
+
+    Departed members have none, since each list forgets them at its own time.
+    """
+    if member.state not in _USABLE:
+        return 0
+    text = f'{member.host}/{member.incarnation}'
+    return xxhash.xxh3_64_intdigest(text.encode())
+
+
 def _nothing() -> None:
     """Do nothing when this daemon refutes."""
 
--- a/src/ragwortstand/peers/messages.py
+++ b/src/ragwortstand/peers/messages.py
@@ -74,11 +74,13 @@
     :param version: version that the sender holds.
     :param outage_age_s: how long ago the store failed anybody, as far as the
         sender knows; None for never.
+    :param members_digest: digest of the sender's list of members.
     :param news: recent changes of members.
     """
 
     version: Version
     outage_age_s: float | None
+    members_digest: int
     news: tuple[Member, ...] = ()
 
 
@@ -87,6 +89,7 @@
 
     version: Version
     outage_age_s: float | None
+    members_digest: int
     news: tuple[Member, ...] = ()
 
 
--- a/src/ragwortstand/platform/client.py
+++ b/src/ragwortstand/platform/client.py
@@ -27,8 +27,8 @@
 class PlatformClient:
     """Table service and object store over HTTP.
 
-    A call that times out closes its connection, so the next call opens a
-    fresh one.
+    A call that times out closes all connections, as a silent one is seldom
+    alone, and the next call opens a fresh one.
 
     :param settings: where the platform is.
     :param metrics: counts the calls.
@@ -49,10 +49,7 @@
             name: settings.timeout_s
             for name in ('connect', 'read', 'write', 'pool')
         }
-        self._pool = httpcore.AsyncConnectionPool(
-            max_connections=_MAX_CONNECTIONS,
-            keepalive_expiry=settings.timeout_s * 2,
-        )
+        self._pool = self._new_pool()
         self.is_reachable = True
         self.on_failure: Callable[[float], None] = _ignore
 
@@ -95,8 +92,24 @@
         path: str,
         body: bytes = b'',
     ) -> httpcore.Response:
+        """Call the platform; a read is repeated once on a fresh connection."""
         try:
-            answer = await self._pool.request(
+            return await self._call_once(kind, method, path, body)
+        except PlatformError as error:
+            if kind == 'write' or error.verdict is Verdict.NOT_RUN:
+                raise
+        return await self._call_once(kind, method, path, body)
+
+    async def _call_once(
+        self,
+        kind: str,
+        method: str,
+        path: str,
+        body: bytes,
+    ) -> httpcore.Response:
+        pool = self._pool
+        try:
+            answer = await pool.request(
                 method,
                 self._url + path,
                 content=body,
@@ -109,6 +122,7 @@
             httpcore.ProtocolError,
             httpcore.TimeoutException,
         ) as error:
+            await self._renew(pool)
             verdict = Verdict.MAY_HAVE_RUN
             raise self._failure(kind, repr(error), verdict) from error
         if answer.status not in {200, 404}:
@@ -118,6 +132,18 @@
         self._count(len(path) + len(body), len(answer.content))
         return answer
 
+    async def _renew(self, pool: httpcore.AsyncConnectionPool) -> None:
+        """Replace a pool whose other connections may be silent as well."""
+        if pool is self._pool:
+            self._pool = self._new_pool()
+            await pool.aclose()
+
+    def _new_pool(self) -> httpcore.AsyncConnectionPool:
+        return httpcore.AsyncConnectionPool(
+            max_connections=_MAX_CONNECTIONS,
+            keepalive_expiry=self._timeouts['read'] * 2,
+        )
+
     def _failure(
         self,
         kind: str,
--- a/src/ragwortstand/tools/fleet.py
+++ b/src/ragwortstand/tools/fleet.py
@@ -12,14 +12,15 @@
 import httpcore
 import msgspec
 
+from ragwortstand.events import Event
 from ragwortstand.operators.client import AdminClient
 from ragwortstand.tools.deployment import Host
 from ragwortstand.tools.processes import (
     LOOPBACK,
     FleetError,
     LinkProcess,
+    PortReservations,
     Process,
-    free_port,
     post,
     wait_until,
 )
@@ -33,17 +34,18 @@
     """A backend server's host: the stand-in server and its daemon.
 
     :param host: what the host is.
+    :param ports: where its ports come from.
     """
 
-    def __init__(self, host: Host) -> None:
+    def __init__(self, host: Host, ports: PortReservations) -> None:
         """Start with nothing running."""
         self.host = host
         self.daemon: Process | None = None
         self.server: Process | None = None
-        self.callers_port = 0
-        self.admin_port = 0
-        self.peer_address = ''
-        self.server_port = 0
+        self.callers_port = ports.reserve()
+        self.admin_port = ports.reserve()
+        self.peer_port = ports.reserve()
+        self.server_port = ports.reserve()
         self.link: LinkProcess | None = None
         self.server_link: LinkProcess | None = None
 
@@ -96,10 +98,11 @@
         self.cluster = cluster
         self.store_region = store_region
         self.overrides = overrides or {}
-        self.nodes = {host.name: Node(host) for host in hosts}
+        self._ports = PortReservations()
+        self.nodes = {host.name: Node(host, self._ports) for host in hosts}
         self._platform: Process | None = None
         self._platform_port = 0
-        self._platform_relay: LinkProcess | None = None
+        self.platform_relay: LinkProcess | None = None
         folder.mkdir(parents=True, exist_ok=True)
         if any(folder.glob('*.journal')):
             raise FleetError(f'{folder} holds the journals of another run')
@@ -136,10 +139,10 @@
 
     def put_link_before_platform(self) -> LinkProcess:
         """Start a relay through which daemons reach the platform."""
-        self._platform_relay = self.start_link(
+        self.platform_relay = self.start_link(
             'platform', f'{LOOPBACK}:{self._platform_port}'
         )
-        return self._platform_relay
+        return self.platform_relay
 
     def start_link(self, name: str, target: str) -> LinkProcess:
         """Start a TCP relay.
@@ -155,8 +158,7 @@
 
         To be called before the daemon starts.
         """
-        node.peer_address = f'tcp://{LOOPBACK}:{free_port()}'
-        target = node.peer_address.removeprefix('tcp://')
+        target = f'{LOOPBACK}:{node.peer_port}'
         node.link = self.start_link(node.host.name, target)
         return node.link
 
@@ -165,7 +167,6 @@
 
         To be called before the backend server starts.
         """
-        node.server_port = free_port()
         target = f'{LOOPBACK}:{node.server_port}'
         node.server_link = self.start_link(f'{node.host.name}.server', target)
         return node.server_link
@@ -181,12 +182,9 @@
         )
 
     def await_daemon(self, node: Node) -> None:
-        """Wait until a daemon listens and keep its ports."""
+        """Wait until a daemon listens."""
         assert node.daemon
-        event = node.daemon.first_line('ragwort:listening')
-        node.callers_port = event['callers_port']
-        node.admin_port = event['admin_port']
-        node.peer_address = event['peer_address']
+        node.daemon.first_line(Event.LISTENING.value)
 
     def start_daemon(self, node: Node) -> None:
         """Start a daemon and wait until it listens."""
@@ -205,6 +203,7 @@
             f'--service-time-s={host.service_time_s}',
             f'--journal={self.journal_path(node)}',
             f'--announce={node.admin_url}/v1/announce',
+            f'--mesh={node.url}',
             f'--port={node.server_port}',
         ]
         if node.server_link:
@@ -212,9 +211,9 @@
         node.server = self._process(f'{host.name}.server', arguments)
 
     def await_server(self, node: Node) -> None:
-        """Wait until a backend server listens and keep its port."""
+        """Wait until a backend server listens."""
         assert node.server
-        node.server_port = node.server.first_line('port')['port']
+        node.server.first_line('port')
 
     def start_server(self, node: Node) -> None:
         """Start a backend server and wait until it listens."""
@@ -300,12 +299,13 @@
             processes += [node.daemon, node.server]
             links = (node.link, node.server_link)
             processes += [link.process for link in links if link]
-        if self._platform_relay:
-            processes.append(self._platform_relay.process)
+        if self.platform_relay:
+            processes.append(self.platform_relay.process)
         for process in processes:
             if process and process.is_running:
                 process.resume()
                 process.kill()
+        self._ports.close()
 
     def _ready_count(self, node: Node) -> int:
         with node.admin() as client:
@@ -322,9 +322,8 @@
     def _settings(self, node: Node) -> dict[str, Any]:
         host = node.host
         platform_port = self._platform_port
-        if self._platform_relay:
-            platform_port = self._platform_relay.port
-        peer_port = int(node.peer_address.rpartition(':')[2] or 0)
+        if self.platform_relay:
+            platform_port = self.platform_relay.port
         settings: dict[str, Any] = {
             'cluster': self.cluster,
             'host': host.name,
@@ -333,7 +332,7 @@
             'callers': {'port': node.callers_port},
             'admin': {'port': node.admin_port, 'token': TOKEN},
             'peers': {
-                'port': peer_port,
+                'port': node.peer_port,
                 'advertised': _advertised(node),
             },
             'platform': {
--- a/src/ragwortstand/tools/gain.py
+++ b/src/ragwortstand/tools/gain.py
@@ -51,11 +51,18 @@
     :param client: HTTP client between daemons and backend servers.
     :param calls: calls counted on each way.
     :param ways: the direct way first.
+    :param own_cpu_ms: processor time of a daemon for a call to its own
+        backend server.
+    :param entry_cpu_ms: processor time of the daemon that forwards a call.
+    :param remote_cpu_ms: processor time of the daemon that runs it.
     """
 
     client: str
     calls: int
     ways: tuple[WayReport, ...]
+    own_cpu_ms: float
+    entry_cpu_ms: float
+    remote_cpu_ms: float
 
 
 def measure_gain(folder: pathlib.Path, calls: int, client: str) -> GainReport:
@@ -77,10 +84,31 @@
             'own': near.callers_port,
             'other': far.callers_port,
         }
-        histograms = anyio.run(
-            _measure, ports, calls, backend_options={'use_uvloop': True}
-        )
-    return GainReport(client, calls, _ways(histograms))
+        histograms = _run(ports, calls)
+        own_ms, _ = _cpu_ms(fleet, near.callers_port, calls)
+        remote_ms, entry_ms = _cpu_ms(fleet, far.callers_port, calls)
+        ways = _ways(histograms)
+    return GainReport(client, calls, ways, own_ms, entry_ms, remote_ms)
+
+
+def _run(ports: dict[str, int], calls: int) -> dict[str, HdrHistogram]:
+    return anyio.run(
+        _measure, ports, calls, backend_options={'use_uvloop': True}
+    )
+
+
+def _cpu_ms(fleet: Fleet, port: int, calls: int) -> tuple[float, float]:
+    """Return the processor time a call on the near and the far daemon."""
+    daemons = [node.daemon for node in fleet.nodes.values() if node.daemon]
+    before = [daemon.cpu_s for daemon in daemons]
+    _run({'way': port}, calls)
+    used_s = [
+        daemon.cpu_s - earlier_s
+        for daemon, earlier_s in zip(daemons, before, strict=True)
+    ]
+    total = calls + _WARM_UP_CALLS
+    near_ms, far_ms = (round(one / total * 1000, 3) for one in used_s)
+    return near_ms, far_ms
 
 
 def _host(name: str) -> Host:
--- a/src/ragwortstand/tools/load_cli.py
+++ b/src/ragwortstand/tools/load_cli.py
@@ -15,6 +15,7 @@
 from ragwortstand.tools.experiments import EXPERIMENTS, run_experiment
 from ragwortstand.tools.gain import measure_gain
 from ragwortstand.tools.load import Plan
+from ragwortstand.tools.member_cost import measure_members
 from ragwortstand.tools.scale import measure_scale
 
 
@@ -61,6 +62,10 @@
     return {'sizes': reports}
 
 
+def _members(options: argparse.Namespace) -> object:
+    return {'sizes': measure_members(options.sizes)}
+
+
 def _experiment(options: argparse.Namespace) -> object:
     return run_experiment(
         options.name,
@@ -94,6 +99,13 @@
     gain.add_argument(
         '--client', choices=('httptools', 'httpcore'), default='httptools'
     )
+    members = commands.add_parser(
+        'members', help='measure the cost of a long list of members'
+    )
+    members.set_defaults(run=_members)
+    members.add_argument(
+        '--sizes', type=int, nargs='+', default=(200, 1000, 2200)
+    )
     scale = commands.add_parser(
         'scale', help='measure control cost against the size of the fleet'
     )
--- a/src/ragwortstand/tools/processes.py
+++ b/src/ragwortstand/tools/processes.py
@@ -5,6 +5,7 @@
 import os
 import pathlib
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -139,13 +140,27 @@
         post(f'{self._admin_url}/state', msgspec.json.encode(state))
 
 
-def free_port() -> int:
-    """Return a TCP port that the operating system chose and nobody uses."""
-    listener = bind(LOOPBACK, 0)
-    try:
-        return port_of(listener)
-    finally:
-        listener.close()
+class PortReservations:
+    """Ports that the operating system chose, kept for one fleet.
+
+    A bound socket that does not listen keeps others from getting the port by
+    chance, also while the process it belongs to is being restarted.
+    """
+
+    def __init__(self) -> None:
+        """Start without ports."""
+        self._sockets: list[socket.socket] = []
+
+    def reserve(self) -> int:
+        """Return a port that nobody else will be given."""
+        reserved = bind(LOOPBACK, 0)
+        self._sockets.append(reserved)
+        return port_of(reserved)
+
+    def close(self) -> None:
+        """Give all ports back."""
+        while self._sockets:
+            self._sockets.pop().close()
 
 
 def post(url: str, body: bytes) -> None:
--- a/src/ragwortstand/tools/scale.py
+++ b/src/ragwortstand/tools/scale.py
@@ -25,7 +25,7 @@
 _REGIONS = ('east', 'west')
 _ZONES = 3
 _REST_S = 20.0
-_SETTLE_S = 25.0
+_SETTLE_S = 40.0
 _CHANGE_GAP_S = 1.0
 _CHANGES = 10
 _JOIN_S = 120.0
@@ -128,14 +128,9 @@
             self._change(0)
             time.sleep(_SETTLE_S)
             rest = self._rest()
-            before = self._read()
-            for number in range(1, _CHANGES + 1):
-                self._change(number)
-                time.sleep(_CHANGE_GAP_S)
-            after = self._read()
+            change = self._changes(rest)
             memory_bytes = self._memory_bytes()
         delays = sorted(self._delays())
-        change = _extra(before, after, rest)
         return SizeReport(
             daemons=self._size,
             distribution=self._distribution,
@@ -156,6 +151,14 @@
             convergence_max_s=round(max(delays), 4),
         )
 
+    def _changes(self, rest: _Reading) -> _Reading:
+        """Return what each of several changes cost."""
+        before = self._read()
+        for number in range(1, _CHANGES + 1):
+            self._change(number)
+            time.sleep(_CHANGE_GAP_S)
+        return _extra(before, self._read(), rest)
+
     def _memory_bytes(self) -> int:
         daemons = [node.daemon for node in self._fleet.running()]
         return sum(daemon.memory_bytes for daemon in daemons if daemon)
@@ -275,11 +278,14 @@
 
 
 def _amounts(metrics: Sequence[str], labels: str | None) -> Iterator[float]:
+    """Yield amounts of bytes; questions of a waiting operator are left out."""
     name = 'ragwort_control_bytes' if labels else 'ragwort_platform_bytes'
-    selected = f'{{{labels or ""}[^}}]*}}'
-    pattern = re.compile(rf'^{name}_total{selected} (\S+)$', re.M)
+    selected = f'({labels or ""}[^}}]*)'
+    pattern = re.compile(rf'^{name}_total{{{selected}}} (\S+)$', re.MULTILINE)
     for text in metrics:
-        yield from map(float, pattern.findall(text))
+        for found, amount in pattern.findall(text):
+            if 'Applied"' not in found:
+                yield float(amount)
 
 
 def _difference(before: _Reading, after: _Reading) -> _Reading:
--- a/src/ragwortstand/tools/standin_backend.py
+++ b/src/ragwortstand/tools/standin_backend.py
@@ -99,6 +99,7 @@
     :param behaviour: how it behaves.
     :param journal: where the journal goes.
     :param seed: seed of the service times.
+    :param mesh_url: callers' side of the daemon beside it, for deeper calls.
     """
 
     def __init__(
@@ -108,8 +109,11 @@
         behaviour: Behaviour,
         journal: TextIO,
         seed: int = 0,
+        mesh_url: str = '',
     ) -> None:
         """Start idle."""
+        self._mesh_url = mesh_url
+        self._pool = httpcore.AsyncConnectionPool(max_connections=200)
         self._name = name
         self._service = service
         self._journal = journal
@@ -218,11 +222,34 @@
         if not is_done:
             self._write(Entry.CANCELLED, headers)
             return
+        if not await self._call_deeper(headers):
+            self._write(Entry.FINISHED, headers)
+            await _respond(send, 502, b'a deeper call failed')
+            return
         self._write(Entry.FINISHED, headers)
         tag = headers.get(b'standin-tag', b'').decode()
         size = int(headers.get(b'standin-size', b'64'))
         await _respond(send, 200, answer_body(tag, body, size))
 
+    async def _call_deeper(self, headers: dict[bytes, bytes]) -> bool:
+        """Make a call of the same kind over the mesh, one level deeper.
+
+        The header `standin-deeper` lists the paths of the levels below.
+        """
+        path, _, deeper = headers.get(b'standin-deeper', b'').partition(b',')
+        if not path:
+            return True
+        passed_on = (b'ragwort-timeout-ms', b'ragwort-rank', b'standin-tag')
+        answer = await self._pool.request(
+            'GET',
+            f'{self._mesh_url}{path.decode()}',
+            headers=[
+                (b'standin-deeper', deeper),
+                *((name, headers[name]) for name in passed_on),
+            ],
+        )
+        return answer.status == 200
+
     def _service_time_s(self, headers: dict[bytes, bytes]) -> float:
         behaviour = self.behaviour
         asked = headers.get(b'standin-service-ms')
--- a/src/ragwortstand/tools/standin_cli.py
+++ b/src/ragwortstand/tools/standin_cli.py
@@ -66,7 +66,12 @@
     port = port_of(listener)
     with pathlib.Path(options.journal).open('a') as journal:  # noqa: ASYNC230
         standin = BackendServerStandin(
-            options.name, options.service, behaviour, journal, options.seed
+            options.name,
+            options.service,
+            behaviour,
+            journal,
+            options.seed,
+            options.mesh,
         )
         async with anyio.create_task_group() as tasks:
             if options.announce:
@@ -125,6 +130,9 @@
     backend.add_argument('--service', required=True)
     backend.add_argument('--journal', required=True, metavar='FILE')
     backend.add_argument('--announce', metavar='URL', default='')
+    backend.add_argument(
+        '--mesh', metavar='URL', default='', help='for deeper calls'
+    )
     backend.add_argument(
         '--announced-port',
         type=int,
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -5,8 +5,10 @@
 
 import anyio
 
+from ragwortstand.backend_servers.server import wire_request
 from ragwortstand.callers.answers import render
 from ragwortstand.callers.front import Front
+from ragwortstand.callers.overload import OverloadGuard
 from ragwortstand.calls import Call
 from ragwortstand.ids import RequestId, Version
 from ragwortstand.metrics import Metrics
@@ -88,6 +90,7 @@
         self.front = Front(
             lambda: self.snapshot,
             self.dispatcher,  # type: ignore[arg-type]
+            OverloadGuard(),
             LimitSettings(max_request_bytes=100),
             Metrics(),
             ListLog(),
@@ -180,6 +183,16 @@
         self.assertEqual(exchange.status, 500)
         self.assertEqual(exchange.headers[b'ragwort-verdict'], b'may-have-run')
 
+    async def test_deadline_travels_on(self) -> None:
+        """The backend server learns the rest of the deadline."""
+        headers = ((b'ragwort-timeout-ms', b'1500'),)
+        await self._send('/slips', headers=headers)
+        call = self.dispatcher.calls[0]
+        wire = wire_request(call, call.deadline_s - 0.7)
+        sent = dict(wire.headers)
+        self.assertAlmostEqual(int(sent[b'ragwort-timeout-ms']), 700, delta=1)
+        self.assertEqual(sent[b'ragwort-rank'], b'urgent')
+
     async def _send(
         self,
         path: str,
@@ -199,6 +212,37 @@
         return exchange
 
 
+class OverloadGuardTest(unittest.TestCase):
+    """A late daemon shares its admissions by rank."""
+
+    def test_on_time_everything_is_admitted(self) -> None:
+        """Without delay no rank is refused."""
+        guard = self._guard()
+        self.assertTrue(all(guard.admits('bulk') for _ in range(1000)))
+
+    def test_flooding_rank_is_held_to_its_part(self) -> None:
+        """When late, whichever rank floods is refused, and only that one."""
+        for flooding, other in (('bulk', 'urgent'), ('urgent', 'bulk')):
+            guard = self._guard()
+            for _ in range(500):
+                guard.admits(flooding)
+            guard.tick(0.2)
+            self.assertFalse(guard.admits(flooding))
+            self.assertTrue(guard.admits(other))
+
+    def test_recovers_within_a_second(self) -> None:
+        """Once on time again everything is admitted at once."""
+        guard = self._guard()
+        guard.tick(0.2)
+        guard.tick(0.0)
+        self.assertTrue(all(guard.admits('bulk') for _ in range(100)))
+
+    def _guard(self) -> OverloadGuard:
+        guard = OverloadGuard()
+        guard.configure(MESH.ranks)
+        return guard
+
+
 class AnswersTest(unittest.TestCase):
     """Outcomes become HTTP answers."""
 
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -47,7 +47,7 @@
         self.requests.append(request)
         match request:
             case Ping():
-                return Pong(Version(7), None)
+                return Pong(Version(7), None, 0)
             case Work():
                 await anyio.sleep(30)
             case AskApplied():
@@ -105,7 +105,7 @@
             for _ in range(100):
                 tasks.start_soon(links.ask, address, _work(), 30)
             await anyio.sleep(0.5)
-            reply = await links.ask(address, Ping(Version(0), None), 1)
+            reply = await links.ask(address, Ping(Version(0), None, 0), 1)
             self.assertIsInstance(reply, Pong)
             tasks.cancel_scope.cancel()
         links.close()
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -4,11 +4,28 @@
 import random
 import unittest
 
-from ragwortstand.ids import HostId, RegionName, ServiceName, ZoneName
+from ragwortstand.exceptions import PeerError
+from ragwortstand.ids import (
+    NO_VERSION,
+    HostId,
+    PeerAddress,
+    RegionName,
+    ServiceName,
+    ZoneName,
+)
+from ragwortstand.peers.gossip import Gossip
 from ragwortstand.peers.homes import Homes
 from ragwortstand.peers.members import Members
-from ragwortstand.peers.messages import MemberState
+from ragwortstand.peers.messages import (
+    IndirectPing,
+    IndirectPong,
+    MemberState,
+    Pong,
+    Reply,
+    Request,
+)
 from ragwortstand.settings import MembershipSettings
+from ragwortstand.verdicts import Verdict
 from tests.fakes import member
 
 _SETTINGS = MembershipSettings(suspicion_s=2, departed_s=100)
@@ -98,6 +115,19 @@
         sizes = {len(one) for one in lists}
         self.assertEqual(sizes, {20})
 
+    def test_digest_compares_present_members(self) -> None:
+        """Lists with the same present members have the same digest."""
+        left, right = _members(), _members()
+        self.assertEqual(left.digest, right.digest)
+        left.merge([member('h9')], 1)
+        self.assertNotEqual(left.digest, right.digest)
+        right.merge([member('h9')], 2)
+        left.merge([member('h9', state=MemberState.DEAD)], 3)
+        self.assertNotEqual(left.digest, right.digest)
+        right.merge([member('h9', state=MemberState.DEAD)], 4)
+        right.expire(200)
+        self.assertEqual(left.digest, right.digest)
+
     def test_roles_need_no_election(self) -> None:
         """All daemons with the same list name the same leaders."""
         orders = []
@@ -171,3 +201,52 @@
             for key in _KEYS
             if (home := self.homes.home(_CONSULT, key)) and home.host == host
         )
+
+
+class _SilentLinks:
+    """Links over which nobody of the lost zone answers."""
+
+    def __init__(self, lost: frozenset[str]) -> None:
+        self._lost = lost
+
+    async def ask(
+        self,
+        address: PeerAddress,
+        request: Request,
+        timeout_s: float,
+    ) -> Reply:
+        """Answer unless the address is lost."""
+        if address in self._lost:
+            raise PeerError('lost', Verdict.NOT_RUN)
+        if isinstance(request, IndirectPing):
+            return IndirectPong(is_alive=False)
+        return Pong(NO_VERSION, None, 0)
+
+    def forget(self, address: PeerAddress) -> None:
+        """Forget nothing."""
+
+
+class LostZoneTest(unittest.IsolatedAsyncioTestCase):
+    """A lost zone is found as a whole."""
+
+    async def test_three_lost_in_a_row_condemn_the_zone(self) -> None:
+        """Two lost members are their own matter; three are the zone's."""
+        members = Members(member('h0', zone='a1'), _SETTINGS, 0)
+        others = [member(f'x{one}', zone='a2') for one in range(40)]
+        near = [member(f'n{one}', zone='a1') for one in range(40)]
+        members.merge([*others, *near], 0)
+        lost = frozenset(one.peer_address for one in others)
+        gossip = Gossip(
+            members,
+            _SilentLinks(lost),  # type: ignore[arg-type]
+            _SETTINGS,
+            Homes(members, window_s=60),
+            lambda: NO_VERSION,
+            lambda version, address: None,
+            random.Random(1),
+        )
+        suspects = []
+        for target in others[:3]:
+            await gossip._probe(target)  # noqa: WPS437
+            suspects.append(members.states()[MemberState.SUSPECT])
+        self.assertEqual(suspects, [1, 2, 40])
