Recognise crashes behind fast restarts, and split the backend server's module

Cause: reading the code as a newcomer. A backend server that its supervisor restarts within milliseconds accepts connections again before the daemon can tell a crash from a lost connection, so a request that crashes it was never suspected. An oversized answer was taken for a lost connection and retried. A daemon that stops under a flood could wait for a moment without refusals.

Change: losses of the last five seconds count as a crash when the backend server announces a new instance. Oversized answers have an error of their own and are final. Refusals of a leaving daemon do not count as in flight. Crash detection is a module of its own.

Ruled out: suspecting every request whose connection is lost, which would quarantine requests that a cut link hit twice.

--- a/src/ragwortstand/backend_servers/clients.py
+++ b/src/ragwortstand/backend_servers/clients.py
@@ -18,7 +18,10 @@
     WireRequest,
     end_to_end,
 )
-from ragwortstand.exceptions import BackendServerError
+from ragwortstand.exceptions import (
+    AnswerTooLargeError,
+    BackendServerError,
+)
 from ragwortstand.verdicts import Answered, Header, Verdict
 
 CONNECT_TIMEOUT_S = 1.0
@@ -105,7 +108,8 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the exchange that was under way."""
         self._transport = None
-        self._fail(f'connection lost: {exc}')
+        problem = f'connection lost: {exc}'
+        self._fail(BackendServerError(problem, Verdict.MAY_HAVE_RUN))
 
     def data_received(self, data: bytes) -> None:
         """Feed the parser."""
@@ -115,7 +119,8 @@
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
-            self._fail(f'malformed answer: {error}')
+            problem = f'malformed answer: {error}'
+            self._fail(BackendServerError(problem, Verdict.MAY_HAVE_RUN))
             self.close()
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -132,7 +137,7 @@
         """Collect a part of the body."""
         self._size_bytes += len(body)
         if self._size_bytes > self._max_answer_bytes:
-            self._fail('answer exceeds the limit')
+            self._fail(AnswerTooLargeError())
             self.close()
             return
         self._parts.append(body)
@@ -161,9 +166,8 @@
         )
         self._answer.set_result(answered)
 
-    def _fail(self, problem: str) -> None:
+    def _fail(self, error: BackendServerError) -> None:
         if self._answer is not None and not self._answer.done():
-            error = BackendServerError(problem, Verdict.MAY_HAVE_RUN)
             self._answer.set_exception(error)
 
 
@@ -233,8 +237,7 @@
             verdict = Verdict.MAY_HAVE_RUN
             raise BackendServerError(problem, verdict) from error
         if len(answer.content) > self._max_answer_bytes:
-            problem = 'answer exceeds the limit'
-            raise BackendServerError(problem, Verdict.MAY_HAVE_RUN)
+            raise AnswerTooLargeError
         headers = tuple((name.lower(), text) for name, text in answer.headers)
         return Answered(answer.status, end_to_end(headers), answer.content)
 
--- a/src/ragwortstand/backend_servers/server.py
+++ b/src/ragwortstand/backend_servers/server.py
@@ -2,7 +2,6 @@
 
 import enum
 from collections.abc import Awaitable, Callable, Mapping
-from dataclasses import dataclass, field
 from types import MappingProxyType
 from typing import TypeAlias
 
@@ -27,11 +26,15 @@
     HttpConnection,
     WireRequest,
 )
-from ragwortstand.backend_servers.crashes import SUSPICION_S, CrashRecord
+from ragwortstand.backend_servers.crash_watch import CrashWatch, Flights
+from ragwortstand.backend_servers.crashes import SUSPICION_S
 from ragwortstand.calls import Call
 from ragwortstand.events import Event, EventLog
-from ragwortstand.exceptions import BackendServerError
-from ragwortstand.ids import Fingerprint, ServiceName
+from ragwortstand.exceptions import (
+    AnswerTooLargeError,
+    BackendServerError,
+)
+from ragwortstand.ids import ServiceName
 from ragwortstand.settings import DaemonSettings
 from ragwortstand.verdicts import (
     Cause,
@@ -81,22 +84,6 @@
 
 
 ClaimStep: TypeAlias = Callable[[], Awaitable[Outcome | None]]
-CrashListener: TypeAlias = Callable[
-    [tuple[Fingerprint, ...]],
-    Awaitable[None],
-]
-
-
-@dataclass(slots=True)
-class _Flights:
-    """Requests between the first byte and the answer.
-
-    :param calls: the requests by object identity.
-    :param reported: set once a crash has been told to the other daemons.
-    """
-
-    calls: dict[int, Call] = field(default_factory=dict)
-    reported: anyio.Event = field(default_factory=anyio.Event)
 
 
 class BackendServer:
@@ -117,16 +104,14 @@
             else ShareAdmission()
         )
         self._pool: ConnectionPool | None = None
-        self._flights = _Flights()
         self._suspect_turn = anyio.Lock()
         self._announced_at_s = 0.0
         self._cold_start_s: dict[str, float] = {}
         self.announcement: Announcement | None = None
         self.state = BackendState.ABSENT
-        self.crash_record = CrashRecord()
+        self.crashes = CrashWatch(log)
         self.is_home: Callable[[Call], bool] = _always
         self.on_change: Callable[[], None] = _nothing
-        self.on_crash: CrashListener = _no_crash_listener
 
     @property
     def service(self) -> ServiceName | None:
@@ -136,7 +121,7 @@
     @property
     def in_flight(self) -> int:
         """Return how many requests run on the backend server."""
-        return len(self._flights.calls)
+        return len(self.crashes.flights.calls)
 
     def load(self, now_s: float) -> Load:
         """Return how busy the backend server is."""
@@ -150,7 +135,11 @@
             for service in snapshot.mesh.services
         }
 
-    def announce(self, announcement: Announcement, now_s: float) -> None:
+    async def announce(
+        self,
+        announcement: Announcement,
+        now_s: float,
+    ) -> None:
         """Take in what the backend server says of itself.
 
         :param announcement: its words.
@@ -160,6 +149,7 @@
         known = self.announcement
         is_fresh = known is None or known.instance != announcement.instance
         if is_fresh:
+            await self.crashes.restarted(now_s)
             self._restart(announcement, now_s)
         elif self.state is BackendState.DOWN:
             self._admission.open(announcement.slots, 0, now_s)
@@ -214,10 +204,10 @@
         return self._quarantine(call)
 
     def _quarantine(self, call: Call) -> Refused | None:
-        if not self.crash_record:
+        if not self.crashes.record:
             return None
         now_s = anyio.current_time()
-        if self.crash_record.is_quarantined(call.fingerprint, now_s):
+        if self.crashes.record.is_quarantined(call.fingerprint, now_s):
             return Refused(Cause.QUARANTINED, SUSPICION_S)
         is_keyed = call.key is not None and not call.is_idempotent
         if is_keyed or not self._is_suspect(call):
@@ -250,10 +240,10 @@
             return refusal or await self._exchange(call)
 
     def _is_suspect(self, call: Call) -> bool:
-        if not self.crash_record:
+        if not self.crashes.record:
             return False
         now_s = anyio.current_time()
-        return self.crash_record.crashes(call.fingerprint, now_s) > 0
+        return self.crashes.record.crashes(call.fingerprint, now_s) > 0
 
     async def _exchange(self, call: Call) -> Outcome:
         pool = self._pool
@@ -275,36 +265,34 @@
             pool.release(connection, anyio.current_time())
 
     async def _fly(self, call: Call, connection: HttpConnection) -> Outcome:
-        flights = self._flights
-        flights.calls[id(call)] = call
+        flights = self.crashes.flights
         call.is_dispatched = True
-        try:
-            answered = await connection.exchange(
-                wire_request(call, anyio.current_time())
-            )
-        except BackendServerError as error:
-            if error.verdict is Verdict.NOT_RUN:
-                call.is_dispatched = False
-                return Refused(Cause.BACKEND_SERVER_DOWN)
-            return await self._after_loss(flights)
-        finally:
-            flights.calls.pop(id(call), None)
-        if self.crash_record:
-            self.crash_record.clear(call.fingerprint)
+        with flights.flight(call):
+            try:
+                answered = await connection.exchange(
+                    wire_request(call, anyio.current_time())
+                )
+            except AnswerTooLargeError:
+                return Unknown(Cause.ANSWER_TOO_LARGE)
+            except BackendServerError as error:
+                return await self._after_error(call, flights, error)
+        if self.crashes.record:
+            self.crashes.record.clear(call.fingerprint)
         return answered
 
-    async def _after_loss(self, flights: _Flights) -> Outcome:
-        """Tell a crash of the backend server from a lost connection."""
-        if flights is self._flights and await self._accepts_connections():
-            return Unknown(Cause.CONNECTION_LOST)
-        if flights is self._flights:
-            self._flights = _Flights()
-            self._down('crashed')
-            suspects = {other.fingerprint for other in flights.calls.values()}
-            await self._record_crash(tuple(suspects))
-            flights.reported.set()
-        await flights.reported.wait()
-        return Unknown(Cause.CRASHED)
+    async def _after_error(
+        self,
+        call: Call,
+        flights: Flights,
+        error: BackendServerError,
+    ) -> Outcome:
+        if error.verdict is Verdict.NOT_RUN:
+            call.is_dispatched = False
+            return Refused(Cause.BACKEND_SERVER_DOWN)
+        cause = await self.crashes.after_loss(
+            call, flights, self._accepts_connections
+        )
+        return Unknown(cause)
 
     async def _accepts_connections(self) -> bool:
         if self.announcement is None:
@@ -312,19 +300,12 @@
         endpoint = Endpoint(self.announcement.address, self.announcement.port)
         try:
             probe = await HttptoolsConnection.connect(endpoint, 0)
-        except BackendServerError:
+        except BackendServerError as error:
+            self._down(str(error))
             return False
         probe.close()
         return True
 
-    async def _record_crash(self, suspects: tuple[Fingerprint, ...]) -> None:
-        now_s = anyio.current_time()
-        quarantined = self.crash_record.add(suspects, now_s)
-        self._log.emit(Event.CRASH_SUSPECTS, fingerprints=list(suspects))
-        for fingerprint in quarantined:
-            self._log.emit(Event.QUARANTINED, fingerprint=fingerprint)
-        await self.on_crash(suspects)
-
     def _restart(self, announcement: Announcement, now_s: float) -> None:
         self._drop_idle_connections()
         endpoint = Endpoint(announcement.address, announcement.port)
@@ -386,7 +367,3 @@
 
 async def _no_claim() -> None:
     """Let a request run without a claim."""
-
-
-async def _no_crash_listener(suspects: tuple[Fingerprint, ...]) -> None:
-    """Do nothing after a crash."""
--- a/src/ragwortstand/callers/front.py
+++ b/src/ragwortstand/callers/front.py
@@ -95,6 +95,9 @@
         send: Send,
     ) -> None:
         """Answer one request."""
+        if self.is_leaving:
+            await self._refuse(Refused(Cause.LEAVING), send)
+            return
         visit = _Visit(receive, anyio.CancelScope(), anyio.current_time())
         self._visits.add(visit)
         try:
@@ -185,9 +188,14 @@
         except ValueError:
             return Refused(Cause.BAD_REQUEST)
 
+    async def _refuse(self, refusal: Refused, send: Send) -> None:
+        """Refuse a request that does not count as in flight."""
+        request_id = RequestId(uuid4().hex)
+        started_s = anyio.current_time()
+        self._account(refusal, _NO_RANK, request_id, NO_VERSION, started_s)
+        await _send(render(refusal, request_id, NO_VERSION), send)
+
     def _early_refusal(self, snapshot: Snapshot | None) -> Refused | None:
-        if self.is_leaving:
-            return Refused(Cause.LEAVING)
         if snapshot is None:
             return Refused(Cause.NO_CONFIGURATION)
         if len(self._visits) > self._limits.max_in_flight:
--- a/src/ragwortstand/daemon.py
+++ b/src/ragwortstand/daemon.py
@@ -215,7 +215,7 @@
         settings = self._settings
         self._backend_server = BackendServer(settings, self._log)
         self._backend_server.on_change = self._on_backend_server
-        self._backend_server.on_crash = self._on_crash
+        self._backend_server.crashes.on_crash = self._on_crash
         self._backend_server.is_home = lambda call: self._homes.is_home(
             ServiceName(call.service.name), call.fingerprint
         )
@@ -265,7 +265,7 @@
             self._forwarded,
             self._store_watch,
             self._members,
-            self._backend_server.crash_record,
+            self._backend_server.crashes.record,
         )
 
     def _build_admin(self) -> None:
--- a/src/ragwortstand/exceptions.py
+++ b/src/ragwortstand/exceptions.py
@@ -85,6 +85,15 @@
         self.verdict = verdict
 
 
+class AnswerTooLargeError(BackendServerError):
+    """The body of an answer exceeds the limit of the settings."""
+
+    def __init__(self) -> None:
+        """Leave open what the request did; it ran, and has no answer."""
+        problem = 'answer exceeds the limit'
+        super().__init__(problem, Verdict.MAY_HAVE_RUN)
+
+
 class RequestTooLargeError(RagwortstandError):
     """The body of a request exceeds the limit of the settings."""
 
--- a/src/ragwortstand/operators/admin.py
+++ b/src/ragwortstand/operators/admin.py
@@ -200,7 +200,7 @@
             )
         except msgspec.DecodeError as error:
             return _error(400, f'malformed announcement: {error}')
-        self._backend_server.announce(announcement, anyio.current_time())
+        await self._backend_server.announce(announcement, anyio.current_time())
         return Response(status_code=204)
 
     def _is_same_host(self, request: Request) -> bool:
--- a/src/ragwortstand/peers/retries.py
+++ b/src/ragwortstand/peers/retries.py
@@ -12,6 +12,7 @@
 _FINAL = frozenset(
     (
         Cause.ALREADY_CLAIMED,
+        Cause.ANSWER_TOO_LARGE,
         Cause.CLAIM_UNAVAILABLE,
         Cause.DEADLINE,
         Cause.NOT_HOME,
--- /dev/null
+++ b/tests/test_backend_server.py
@@ -0,0 +1,180 @@
+"""Tests of the backend server beside a daemon, over loopback."""
+
+import contextlib
+import unittest
+
+import anyio
+from anyio.abc import SocketStream
+
+from ragwortstand.backend_servers import (
+    Announcement,
+    BackendServer,
+    BackendState,
+)
+from ragwortstand.backend_servers.connections import Endpoint
+from ragwortstand.calls import Call
+from ragwortstand.ids import Fingerprint, RequestId, ServiceName, Version
+from ragwortstand.models import Rank, Service
+from ragwortstand.settings import parse_settings
+from ragwortstand.verdicts import Cause, Refused, Unknown
+from tests.fakes import ListLog
+from tests.servers import OK, answering, running_server
+
+_SETTINGS = parse_settings(
+    '{"cluster":"c","host":"h","region":"r","availability_zone":"z",'
+    '"admin":{"token":"0123456789abcdef"},'
+    '"limits":{"max_answer_bytes":100},'
+    '"platform":{"url":"http://127.0.0.1:1","region":"r"}}',
+)
+
+
+async def _lose(stream: SocketStream) -> None:
+    """Take a request and close the connection without an answer."""
+    async with stream:
+        with contextlib.suppress(anyio.EndOfStream):
+            await stream.receive()
+
+
+async def _hang(stream: SocketStream) -> None:
+    """Take a request and never answer."""
+    async with stream:
+        await stream.receive()
+        await anyio.sleep_forever()
+
+
+def _call(target: str = '/a', timeout_s: float = 2.0) -> Call:
+    return Call(
+        request_id=RequestId('r'),
+        method='GET',
+        target=target,
+        headers=(),
+        body=b'',
+        service=Service(name='consult'),
+        rank=Rank(name='urgent'),
+        is_idempotent=True,
+        deadline_s=anyio.current_time() + timeout_s,
+        version=Version(1),
+    )
+
+
+class BackendServerTest(unittest.IsolatedAsyncioTestCase):
+    """Outcomes are true, and crashes are told from lost connections."""
+
+    def setUp(self) -> None:
+        """Start without a backend server."""
+        self.server = BackendServer(_SETTINGS, ListLog())
+        self.told: list[tuple[Fingerprint, ...]] = []
+        self.server.crashes.on_crash = self._tell
+
+    async def test_answer(self) -> None:
+        """A request is answered, and its slot is free again."""
+        async with running_server(answering(OK)) as endpoint:
+            await self._announce(endpoint)
+            outcome = await self.server.run(_call())
+        self.assertEqual(outcome.status, 200)  # type: ignore[union-attr]
+        self.assertEqual(self.server.load(anyio.current_time()).in_use, 0)
+
+    async def test_states_refuse(self) -> None:
+        """Absent, draining and silent backend servers get no work."""
+        down = Refused(Cause.BACKEND_SERVER_DOWN)
+        self.assertEqual(await self.server.run(_call()), down)
+        await self._announce(Endpoint('127.0.0.1', 1), is_draining=True)
+        leaving = Refused(Cause.LEAVING)
+        self.assertEqual(await self.server.run(_call()), leaving)
+        await self._announce(Endpoint('127.0.0.1', 1))
+        self.server.expire(anyio.current_time() + 6)
+        self.assertIs(self.server.state, BackendState.DOWN)
+
+    async def test_nobody_listens(self) -> None:
+        """A refused connection is not run, and the server is down."""
+        await self._announce(Endpoint('127.0.0.1', 1))
+        outcome = await self.server.run(_call())
+        self.assertEqual(outcome, Refused(Cause.BACKEND_SERVER_DOWN))
+        self.assertIs(self.server.state, BackendState.DOWN)
+
+    async def test_deadline(self) -> None:
+        """What runs past its deadline is unknown; what waits has not run."""
+        async with running_server(_hang) as endpoint:
+            await self._announce(endpoint, slots=1)
+            outcomes: list[object] = []
+
+            async def run(timeout_s: float) -> None:
+                outcome = await self.server.run(_call(timeout_s=timeout_s))
+                outcomes.append(outcome)
+
+            async with anyio.create_task_group() as calls:
+                calls.start_soon(run, 0.4)
+                await anyio.sleep(0.05)
+                calls.start_soon(run, 0.2)
+        waited, ran = outcomes
+        self.assertEqual(waited, Refused(Cause.DEADLINE))
+        self.assertEqual(ran, Unknown(Cause.DEADLINE))
+
+    async def test_oversized_answer(self) -> None:
+        """An answer over the limit is final, as the request ran."""
+        large = b'HTTP/1.1 200 OK\r\ncontent-length: 101\r\n\r\n'
+        script = answering(large + b'x' * 101)
+        async with running_server(script) as endpoint:
+            await self._announce(endpoint)
+            outcome = await self.server.run(_call())
+        self.assertEqual(outcome, Unknown(Cause.ANSWER_TOO_LARGE))
+
+    async def test_crash_is_told_before_the_answer(self) -> None:
+        """A lost connection to a server that is gone is a crash."""
+        outcomes: list[object] = []
+
+        async def run() -> None:
+            outcomes.append(await self.server.run(_call()))
+
+        async with (
+            anyio.create_task_group() as calls,
+            running_server(_hang) as endpoint,
+        ):
+            await self._announce(endpoint)
+            calls.start_soon(run)
+            await anyio.sleep(0.1)
+        self.assertEqual(outcomes, [Unknown(Cause.CRASHED)])
+        self.assertEqual(self.told, [(_call().fingerprint,)])
+
+    async def test_lost_connection_is_no_crash(self) -> None:
+        """A server that still accepts connections has not crashed."""
+        async with running_server(_lose) as endpoint:
+            await self._announce(endpoint)
+            outcome = await self.server.run(_call())
+        self.assertEqual(outcome, Unknown(Cause.CONNECTION_LOST))
+        self.assertEqual(self.told, [])
+
+    async def test_fast_restarts_are_crashes(self) -> None:
+        """Losses just before a restart count as a crash, twice condemn."""
+        async with running_server(_lose) as endpoint:
+            await self._announce(endpoint, instance='1')
+            for instance in '23':
+                await self.server.run(_call('/poison'))
+                await self._announce(endpoint, instance=instance)
+            refused = await self.server.run(_call('/poison'))
+            other = await self.server.run(_call('/other'))
+        self.assertEqual(len(self.told), 2)
+        self.assertEqual(refused, Refused(Cause.QUARANTINED, 600))
+        self.assertEqual(other, Unknown(Cause.CONNECTION_LOST))
+
+    async def _announce(
+        self,
+        endpoint: Endpoint,
+        *,
+        instance: str = '1',
+        slots: int = 5,
+        is_draining: bool = False,
+    ) -> None:
+        announcement = Announcement(
+            instance=instance,
+            service=ServiceName('consult'),
+            address=endpoint.address,
+            port=endpoint.port,
+            slots=slots,
+            connections=5,
+            is_draining=is_draining,
+        )
+        await self.server.announce(announcement, anyio.current_time())
+
+    async def _tell(self, suspects: tuple[Fingerprint, ...]) -> None:
+        self.told.append(suspects)
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -1,11 +1,6 @@
 """Tests of the HTTP clients of backend servers, over loopback."""
 
 import unittest
-from collections.abc import AsyncIterator, Awaitable, Callable
-from contextlib import asynccontextmanager
-
-import anyio
-from anyio.abc import SocketAttribute, SocketStream
 
 from ragwortstand.backend_servers.clients import (
     HttpcoreConnection,
@@ -19,32 +14,10 @@
 )
 from ragwortstand.exceptions import BackendServerError
 from ragwortstand.verdicts import Verdict
+from tests.servers import OK, answering, running_server
 
 _LIMIT_BYTES = 1000
 _CLIENTS = (HttptoolsConnection, HttpcoreConnection)
-_OK = b'HTTP/1.1 200 OK\r\ncontent-length: 4\r\nx-a: b\r\n\r\nbody'
-
-Script = Callable[[SocketStream], Awaitable[None]]
-
-
-@asynccontextmanager
-async def _server(script: Script) -> AsyncIterator[Endpoint]:
-    listener = await anyio.create_tcp_listener(local_host='127.0.0.1')
-    port = listener.extra(SocketAttribute.local_port)
-    async with listener, anyio.create_task_group() as tasks:
-        tasks.start_soon(listener.serve, script)
-        yield Endpoint('127.0.0.1', port)
-        tasks.cancel_scope.cancel()
-
-
-def _answering(*answers: bytes) -> Script:
-    async def script(stream: SocketStream) -> None:
-        async with stream:
-            for answer in answers:
-                await stream.receive()
-                await stream.send(answer)
-
-    return script
 
 
 def _request(method: str = 'GET') -> WireRequest:
@@ -57,7 +30,7 @@
     async def test_whole_answers_on_one_connection(self) -> None:
         """Two exchanges share a connection."""
         for client in _CLIENTS:
-            async with _server(_answering(_OK, _OK)) as endpoint:
+            async with running_server(answering(OK, OK)) as endpoint:
                 connection = await client.connect(endpoint, _LIMIT_BYTES)
                 for _ in range(2):
                     answered = await connection.exchange(_request())
@@ -68,10 +41,10 @@
 
     async def test_cut_answer_may_have_run(self) -> None:
         """An answer that ends early is an error, never a short body."""
-        cuts = (b'', b'HTTP/1.1 200', _OK[:-2], b'nonsense\r\n\r\n')
+        cuts = (b'', b'HTTP/1.1 200', OK[:-2], b'nonsense\r\n\r\n')
         for client in _CLIENTS:
             for cut in cuts:
-                async with _server(_answering(cut or b'H')) as endpoint:
+                async with running_server(answering(cut or b'H')) as endpoint:
                     connection = await client.connect(endpoint, _LIMIT_BYTES)
                     verdict = await self._failure(connection)
                     self.assertIs(verdict, Verdict.MAY_HAVE_RUN)
@@ -95,7 +68,9 @@
         size = _LIMIT_BYTES + 1
         large = b'HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n' % size
         for client in _CLIENTS:
-            async with _server(_answering(large + b'x' * size)) as endpoint:
+            async with running_server(
+                answering(large + b'x' * size)
+            ) as endpoint:
                 connection = await client.connect(endpoint, _LIMIT_BYTES)
                 with self.assertRaises(BackendServerError):
                     await connection.exchange(_request())
@@ -103,9 +78,9 @@
 
     async def test_answer_to_head_has_no_body(self) -> None:
         """HEAD ends with the headers."""
-        head = _OK.removesuffix(b'body')
+        head = OK.removesuffix(b'body')
         for client in _CLIENTS:
-            async with _server(_answering(head)) as endpoint:
+            async with running_server(answering(head)) as endpoint:
                 connection = await client.connect(endpoint, _LIMIT_BYTES)
                 answered = await connection.exchange(_request('HEAD'))
                 self.assertEqual(answered.body, b'')
@@ -117,7 +92,7 @@
 
     async def test_reuse_by_age(self) -> None:
         """An idle connection that is too old is closed."""
-        async with _server(_answering(_OK, _OK)) as endpoint:
+        async with running_server(answering(OK, OK)) as endpoint:
             pool = self._pool(endpoint, 2)
             first = await pool.acquire(10, 0)
             pool.release(first, 0)
@@ -127,7 +102,7 @@
 
     async def test_limit(self) -> None:
         """A connection beyond the limit is refused as not run."""
-        async with _server(_answering(_OK)) as endpoint:
+        async with running_server(answering(OK)) as endpoint:
             pool = self._pool(endpoint, 1)
             await pool.acquire(1, 0)
             with self.assertRaises(BackendServerError) as caught:
