Bound the memory of keyed requests, and drive the command line in scenarios

Cause: reading the code. A home kept whole answers of keyed requests for the window, whatever their size, and forgot the oldest key when it had too many, which could let a repetition run again. The command line was tested offline only.

Scenarios run ragwortctl as a process from the first version to a rollback, with a wrong token, without the platform, and for a drain.

Ruled out: forgetting the oldest key and relying on its row in the table, which an outage of the table would take away.

--- /dev/null
+++ b/features/steps/operator_steps.py
@@ -0,0 +1,58 @@
+"""Steps of operators at a terminal."""
+
+import os
+import subprocess
+import sys
+
+from behave import then, when
+
+from features.support import host_of, mesh_with_deadline
+from ragwortstand.tools.fleet import TOKEN
+
+
+@when('the operator runs "{command}" with a wrong token')
+def run_with_wrong_token(context, command):
+    """Run a command with another token."""
+    _run(context, command, _admin_urls(context), 'a-token-of-somebody-else')
+
+
+@when('the operator runs "{command}" on host {number:d}')
+def run_on_host(context, command, number):
+    """Run a command against one daemon."""
+    _run(context, command, host_of(context, number).admin_url, TOKEN)
+
+
+@when('the operator runs "{command}"')
+def run_command(context, command):
+    """Run a command against all daemons, with a configuration as input."""
+    _run(context, command, _admin_urls(context), TOKEN)
+
+
+@then('it exits with {code:d} and prints "{text}"')
+@then('it exits with {code:d} and prints ""')
+def command_result(context, code, text=''):
+    """Check exit code and output."""
+    done = context.command
+    output = done.stdout + done.stderr
+    assert done.returncode == code, (done.returncode, output)
+    assert text in output, output
+
+
+def _admin_urls(context):
+    return ','.join(node.admin_url for node in context.fleet.running())
+
+
+def _run(context, command, admin, token):
+    context.command = subprocess.run(
+        [
+            sys.executable,
+            '-m',
+            'ragwortstand.operators.cli',
+            *command.split(),
+        ],
+        input=mesh_with_deadline(31).to_json(),
+        env={**os.environ, 'RAGWORT_ADMIN': admin, 'RAGWORT_TOKEN': token},
+        capture_output=True,
+        text=True,
+        check=False,
+    )
--- a/src/ragwortstand/callers/once.py
+++ b/src/ragwortstand/callers/once.py
@@ -18,7 +18,13 @@
 from ragwortstand.exceptions import PlatformError
 from ragwortstand.ids import HostId, ServiceName
 from ragwortstand.peers.homes import Homes
-from ragwortstand.platform.claims import Claim, ClaimTable, kept, replayed
+from ragwortstand.platform.claims import (
+    MAX_KEPT_BODY_BYTES,
+    Claim,
+    ClaimTable,
+    kept,
+    replayed,
+)
 from ragwortstand.verdicts import (
     Answered,
     Cause,
@@ -28,6 +34,7 @@
 )
 
 _MAX_ENTRIES = 20_000
+_MAX_KEPT_BYTES = 32 * 1024 * 1024
 _NOT_HOME_RETRY_S = 0.5
 _EXPIRE_INTERVAL_S = 5.0
 _CLAIM_TIMEOUT_S = 0.5
@@ -81,6 +88,7 @@
         self._window_s = window_s
         self._is_store_out = is_store_out
         self._entries: OrderedDict[str, _Entry] = OrderedDict()
+        self._kept_bytes = 0
 
     async def run(self, call: Call) -> Outcome:
         """Return the outcome of a request, or of its first attempt.
@@ -96,6 +104,8 @@
             return await self._repeat(call, entry)
         if not self._homes.is_home(service, call.key):
             return Refused(Cause.NOT_HOME, _NOT_HOME_RETRY_S)
+        if entry is None and len(self._entries) >= _MAX_ENTRIES:
+            return Refused(Cause.OVERLOADED, self._window_s / 10)
         nonce = entry.nonce if entry else uuid4().hex
         return await self._run_first(call, name, nonce)
 
@@ -113,11 +123,10 @@
         while self._entries:
             name, entry = next(iter(self._entries.items()))
             is_old = now_s - entry.at_s > self._window_s
-            is_crowded = len(self._entries) > _MAX_ENTRIES
-            is_busy = not entry.finished.is_set()
-            if is_busy or not (is_old or is_crowded):
+            if not entry.finished.is_set() or not is_old:
                 return
             self._entries.pop(name)
+            self._kept_bytes -= _size_bytes(entry.outcome)
             if entry.is_claimed:
                 self._claims.delete_behind(name)
 
@@ -151,7 +160,7 @@
         outcome: Outcome,
     ) -> None:
         """Keep the outcome, and tell the table what became of the claim."""
-        entry.outcome = outcome
+        entry.outcome = self._keep(outcome)
         if isinstance(outcome, Answered):
             entry.has_run = True
             answer = kept(outcome)
@@ -161,6 +170,15 @@
         elif entry.is_claimed and isinstance(outcome, Refused):
             entry.is_claimed = not await self._claims.release(name)
 
+    def _keep(self, outcome: Outcome) -> Outcome:
+        """Return what a repetition will be told, within bounds on memory."""
+        size_bytes = _size_bytes(outcome)
+        is_full = self._kept_bytes + size_bytes > _MAX_KEPT_BYTES
+        if is_full or size_bytes > MAX_KEPT_BODY_BYTES:
+            return Unknown(Cause.ALREADY_CLAIMED)
+        self._kept_bytes += size_bytes
+        return outcome
+
     async def _claim(
         self,
         call: Call,
@@ -200,6 +218,10 @@
         return Unknown(Cause.CLAIM_UNAVAILABLE)
 
 
+def _size_bytes(outcome: Outcome | None) -> int:
+    return len(outcome.body) if isinstance(outcome, Answered) else 0
+
+
 def _first_outcome(claim: Claim | None) -> Outcome:
     """Return the outcome of the attempt that holds the claim."""
     if claim and claim.answer:
--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -3,6 +3,7 @@
 import asyncio
 import unittest
 from collections.abc import Awaitable, Callable
+from unittest import mock
 
 import anyio
 
@@ -232,6 +233,24 @@
         self.assertEqual(self.first.backend.runs, 50)
         self.assertLessEqual(self.platform.writes, 10)
 
+    async def test_large_answers_are_not_kept(self) -> None:
+        """A repetition of a request with a large answer is told it ran."""
+        self.first.backend.outcomes = [Answered(200, (), b'x' * 100_000)]
+        first = await self.first.runner.run(_call())
+        self.assertEqual(first.verdict, Verdict.RAN)
+        again = await self.first.runner.run(_call())
+        self.assertEqual(again, Unknown(Cause.ALREADY_CLAIMED))
+        self.assertEqual(self.first.backend.runs, 1)
+
+    async def test_full_memory_refuses_new_keys(self) -> None:
+        """A home that can remember no more keys refuses new ones."""
+        with mock.patch('ragwortstand.callers.once._MAX_ENTRIES', 1):
+            await self.first.runner.run(_call('k1'))
+            outcome = await self.first.runner.run(_call('k2'))
+            again = await self.first.runner.run(_call('k1'))
+        self.assertIs(outcome.verdict, Verdict.NOT_RUN)
+        self.assertEqual(again, _ANSWER)
+
     async def test_old_entries_are_forgotten(self) -> None:
         """Beyond the window the memory and the claim go."""
         await self.first.runner.run(_call())
