Watch the event loop's delay ten times a second

Cause: processor time at rest had doubled since the guard against a late event loop woke the daemon 50 times a second.

Change: it wakes 10 times a second, with the same memory of about a second.

--- a/src/ragwortstand/callers/overload.py
+++ b/src/ragwortstand/callers/overload.py
@@ -11,9 +11,9 @@
 
 from ragwortstand.models import Rank
 
-_TICK_S = 0.02
+_TICK_S = 0.1
 _LATE_S = 0.05
-_DECAY_PER_TICK = 0.98
+_DECAY_PER_TICK = 0.9
 
 
 class OverloadGuard:
@@ -53,7 +53,7 @@
         return True
 
     def tick(self, delay_s: float) -> None:
-        """Note the delay of the event loop, once each 20 ms.
+        """Note the delay of the event loop, once each 0.1 s.
 
         :param delay_s: how late the tick came.
         """
