--- a/src/ragwortstand/peers/gossip.py
+++ b/src/ragwortstand/peers/gossip.py
@@ -92,7 +92,8 @@
                 if now_s - before_s > interval_s * _PAUSE_FACTOR:
                     self._members.postpone(now_s)
                 before_s = now_s
-                self._members.expire(now_s)
+                if self._members.expire(now_s):
+                    probes.start_soon(self.spread)
                 for target in self.targets():
                     probes.start_soon(self._probe, target)
 
@@ -202,6 +203,8 @@
             self._suspect_zone(target)
         if target.state is MemberState.DEAD:
             self._links.forget(target.peer_address)
+        elif target.state is MemberState.ALIVE:
+            await self.spread()
 
     def _suspect_zone(self, target: Member) -> None:
         """Suspect a whole zone when several of its members in turn are lost.
--- a/src/ragwortstand/peers/members.py
+++ b/src/ragwortstand/peers/members.py
@@ -127,11 +127,13 @@
         if member and member.state is MemberState.SUSPECT:
             self._store(replace(member, state=MemberState.ALIVE), now_s)
 
-    def expire(self, now_s: float) -> None:
+    def expire(self, now_s: float) -> bool:
         """Turn old suspects into dead members, and forget departed ones.
 
         :param now_s: present time.
+        :returns: whether a member has died.
         """
+        has_died = False
         is_cut_off = self._is_cut_off()
         for entry in tuple(self._entries.values()):
             age_s = now_s - entry.changed_at_s
@@ -140,8 +142,10 @@
                 if age_s >= self._settings.suspicion_s:
                     dead = replace(entry.member, state=MemberState.DEAD)
                     self._store(dead, now_s)
+                    has_died = True
             elif state not in _USABLE and age_s > self._settings.departed_s:
                 self._forget(entry.member.host)
+        return has_died
 
     def postpone(self, now_s: float) -> None:
         """Restart all suspicions, after this daemon itself was paused."""
--- a/src/ragwortstand/tools/capacity.py
+++ b/src/ragwortstand/tools/capacity.py
@@ -32,8 +32,7 @@
 _MEMORY_LIMIT_BYTES = 128 * 1024 * 1024
 _BYTES_LIMIT_PER_S = 5 * 1024
 _MEBIBYTE = 1024 * 1024
-_NEWS_BYTES = 110
-_NEWS_REPEATS = 27
+_NEWS_REPEATS = 3 + 2 * _DAEMONS.bit_length()
 _EVENTS_PER_S = (_RESTARTS_PER_DAY * 4 + _FAILURES_PER_DAY * 2) / _DAY_S
 _REGIONS = 2
 _ENTRY_POINTS = 12
@@ -87,7 +86,7 @@
     members = _read(folder / 'members.json', MemberCosts).sizes
     gain = _read(folder / 'gain.json', GainReport)
     numbers = {
-        **_bytes(push),
+        **_bytes(push, members),
         **_processor(push, members),
         **_memory(push, members),
         **_fleet(push),
@@ -100,20 +99,27 @@
     return PAGE.format_map(numbers)
 
 
-def _bytes(push: Sequence[SizeReport]) -> dict[str, object]:
+def _bytes(
+    push: Sequence[SizeReport],
+    members: Sequence[MemberCost],
+) -> dict[str, object]:
     """Return the control bytes of a daemon at the size of the aim."""
-    rest = _line(push, lambda one: one.rest_bytes_per_s)
-    change = _line(push, lambda one: one.change_bytes)
-    news = _EVENTS_PER_S * _NEWS_BYTES * _NEWS_REPEATS
-    change_s = change.at(_DAEMONS) * _CHANGES_PER_DAY / _DAY_S
-    bytes_per_s = rest.at(_DAEMONS) + change_s + news
+    rest = _falling(push, lambda one: one.rest_bytes_per_s)
+    change = _falling(push, lambda one: one.change_bytes)
+    listed = fit([(one.members, one.list_bytes) for one in members])
+    news = _EVENTS_PER_S * listed.slope * _NEWS_REPEATS
+    rest_bytes = rest.at(1 / _DAEMONS)
+    change_bytes = change.at(1 / _DAEMONS)
+    change_s = change_bytes * _CHANGES_PER_DAY / _DAY_S
+    bytes_per_s = rest_bytes + change_s + news
     return {
-        'rest_slope': f'{rest.slope:+.3f}',
-        'rest_bytes': f'{rest.at(_DAEMONS):.0f}',
-        'change_each': f'{change.at(_DAEMONS):.0f}',
-        'change_slope': f'{change.slope:+.2f}',
+        'rest_slope': f'{rest.intercept:.0f} + {rest.slope:.0f} / n',
+        'rest_bytes': f'{rest_bytes:.0f}',
+        'change_each': f'{change_bytes:.0f}',
+        'change_slope': f'{change.intercept:.0f} + {change.slope:.0f} / n',
         'change_bytes': f'{change_s:.1f}',
         'news_bytes': f'{news:.1f}',
+        'news_repeats': str(_NEWS_REPEATS),
         'bytes_per_s': f'{bytes_per_s:.0f}',
         'bytes_verdict': _verdict(bytes_per_s, _BYTES_LIMIT_PER_S),
     }
@@ -124,14 +130,15 @@
     members: Sequence[MemberCost],
 ) -> dict[str, object]:
     """Return the processor time of a daemon at the size of the aim."""
-    cpu = _line(push, lambda one: one.cpu_share)
+    cpu = _falling(push, lambda one: one.cpu_share)
     tick = fit([(one.members, one.tick_s) for one in members])
     taken = fit([(one.members, one.change_s) for one in members])
     news_share = taken.at(_DAEMONS) * _EVENTS_PER_S
-    cpu_share = cpu.intercept + tick.at(_DAEMONS) + news_share
+    floor = cpu.at(1 / _DAEMONS)
+    cpu_share = floor + tick.at(_DAEMONS) + news_share
     return {
-        'cpu_floor': f'{cpu.intercept:.2%}',
-        'cpu_slope': f'{cpu.slope:+.2e}',
+        'cpu_floor': f'{floor:.2%}',
+        'cpu_slope': f'{cpu.intercept:.2%} + {cpu.slope:.2%} / n',
         'tick_ms': f'{tick.at(_DAEMONS) * 1000:.2f}',
         'taken_ms': f'{taken.at(_DAEMONS) * 1000:.2f}',
         'cpu': f'{cpu_share:.2%}',
@@ -218,6 +225,18 @@
     return fit([(one.daemons, amount(one)) for one in sizes])
 
 
+def _falling(
+    sizes: Sequence[SizeReport],
+    amount: Callable[[SizeReport], float],
+) -> Line:
+    """Return a line over 1 / size.
+
+    A fixed number of bridges, readers and entry points serves the whole
+    fleet, so a daemon's average share of their cost falls with its size.
+    """
+    return fit([(1 / one.daemons, amount(one)) for one in sizes])
+
+
 def _last(sizes: Sequence[SizeReport]) -> SizeReport:
     return max(sizes, key=lambda one: one.daemons)
 
--- a/src/ragwortstand/tools/capacity_page.py
+++ b/src/ragwortstand/tools/capacity_page.py
@@ -27,16 +27,21 @@
 
 ## A daemon at rest, at 2,200
 
-| cost | measured slope | at 2,200 | limit | |
+A fixed number of bridges, readers and entry points serves the whole fleet, so
+the average over the daemons falls as `a + b / n` with the size n of the
+fleet; the fits are over 1 / n.
+
+| cost | measured | at 2,200 | limit | |
 |---|---|---|---|---|
-| control bytes a second | rest {rest_slope} B/s a daemon; a change {change_each} B ({change_slope} B a daemon) | {bytes_per_s} B/s = {rest_bytes} at rest + {change_bytes} for changes + {news_bytes} for news of members | 5,120 B/s | {bytes_verdict} |
-| processor time | {cpu_floor} of a core with few members ({cpu_slope} a daemon in whole fleets); an interval of probing {tick_ms} ms, a change of a member {taken_ms} ms at 2,200 | {cpu} of a core | 3.3% | {cpu_verdict} |
+| control bytes a second | rest {rest_slope} B/s; a change {change_slope} B, {change_each} B at 2,200 | {bytes_per_s} B/s = {rest_bytes} at rest + {change_bytes} for changes + {news_bytes} for news of members (4 changes a restart, 2 a failure, told {news_repeats} times) | 5,120 B/s | {bytes_verdict} |
+| processor time | whole fleets {cpu_slope}, {cpu_floor} of a core at 2,200 without the growth of the list; an interval of probing {tick_ms} ms, a change of a member {taken_ms} ms at 2,200 | {cpu} of a core | 3.3% | {cpu_verdict} |
 | memory | {memory_floor} MiB with few members ({memory_slope} KiB a daemon in whole fleets); {member_bytes} B a member in the list | {memory} MiB | 128 MiB | {memory_verdict} |
 
 Mechanisms: probes inside the zone are one a second whatever the size of the
-fleet, so bytes at rest hardly grow (`peers/gossip.py`). Each change of a
-member is told a bounded number of times that grows with the logarithm of the
-fleet (`peers/members.py`). A version travels as the difference from the one
+fleet, and the bridges' probes are shared by more daemons, so bytes at rest
+fall with its size (`peers/gossip.py`). Each change of a member is told a
+bounded number of times that grows with the logarithm of the fleet
+(`peers/members.py`). A version travels as the difference from the one
 before (`peers/distribution.py`). The extrapolation takes the floor from whole
 fleets and the growth of the list from the measurement in one process, since
 no machine here runs 2,200 daemons.
@@ -49,10 +54,10 @@
 | role | held by | state | messages | processor time, memory |
 |---|---|---|---|---|
 | daemon | every host | list of members, version in force and three before it, signals of its calls | one probe a second each way; offers and one fetch a change | as above |
-| zone bridge | two members of each zone, by rendezvous hashing | none of its own | one probe a second to each other zone of the region, one to a dead member of its zone | about 0.3 ms a probe |
+| zone bridge | two members of each zone, by rendezvous hashing | none of its own | one probe a second to each other zone of the region, one to a dead member of its zone | in the averages above; not measured on its own |
 | region bridge | two members of each region | none of its own | one probe a second to each other region; one offer a change to each | as above; {regional_rest} B/s over the regional links at rest and {regional_change} B a change, whole fleet |
 | reader | two members of the store's region | none | one read of the head row a second | {reads} reads and {writes} writes a second in the largest fleet measured; independent of its size |
-| entry point | two members of each zone, 12 in all | a row of the table | the list of members to each newcomer, {list_kb} KiB; {list_daily_bytes} B/s on a day with 269 restarts | a list is encoded in a few ms |
+| entry point | two members of each zone, 12 in all | a row of the table | the list of members to each newcomer, {list_kb} KiB; {list_daily_bytes} B/s on a day with 269 restarts | not measured on its own |
 | home of keyed requests | the leading member of the service for each key | outcomes of the window, at most 20,000 | three rows of the table a keyed request (claim, outcome, deletion), up to 25 a transaction | 16 KiB at most an outcome kept |
 | operator's client | outside | none | one question to each daemon for a `wait`, 64 at a time | seconds at 2,200 while it waits |
 | table service | platform | head, versions, submissions, entry points, claims | above, plus the claims | limit of several hundred writes a second |
@@ -60,6 +65,9 @@
 
 ## Convergence
 
+A bridge itself pays more than the average: one more probe a second to each
+other zone of its region, or to each other region.
+
 Acceptance to the last daemon took {worst_s} s at worst over all changes and
 sizes measured ({sizes} daemons), the median {worst_p50_s} s at most. Offers
 go to four members at a time, so the number of rounds grows with the logarithm
@@ -87,7 +95,7 @@
 reached for the own backend server and missed over another daemon. In a mesh
 most calls go to another service and take the hop. To reach the aim there, the
 hop must cost about half: a stream between daemons without the thread
-hand-overs of `pynng` (first trial 0.28 / 0.38 ms for the whole hop), or the
+hand-overs of `pynng` (an early trial gave 0.28 / 0.38 ms for such a hop as a whole), or the
 caller's library choosing the daemon beside the backend server itself. 15 deep
 the additions add up: 15 times the median, and the 99th percentile of a sum
 lies well below 15 times that of one call.
