Know a slow backend server by its own past

Daemons in the zone of the slow server had heard of no other server of the service in the last seconds, so its own latency was the best they knew.

Change: each signal keeps the usual latency, the lowest mean of about the last minute, and a server is slow against that too. A slow server is tried again with one request at a time.

Ruled out: sending a share of the requests elsewhere to keep a reference, which would cross zones and paid links in ordinary times.

--- a/src/ragwortstand/peers/choice.py
+++ b/src/ragwortstand/peers/choice.py
@@ -17,6 +17,7 @@
 _BUSY_LIFE_S = 0.5
 _SLOW_FACTOR = 3.0
 _SLOW_SLACK_S = 0.05
+_USUAL_RISE_PER_S = 0.02
 _BLOCK_MIN_S = 0.5
 _BLOCK_MAX_S = 5.0
 _TIERS = 4
@@ -38,6 +39,7 @@
 
     :param outstanding: calls that this daemon waits on.
     :param latency_s: mean time to answer; 0 means unknown.
+    :param usual_s: lowest mean of about the last minute; 0 means unknown.
     :param busy: slots in use and requests queued, per slot.
     :param heard_at_s: time of the last outcome.
     :param failures: failures in a row.
@@ -46,6 +48,7 @@
 
     outstanding: int = 0
     latency_s: float = 0.0
+    usual_s: float = 0.0
     busy: float = 0.0
     heard_at_s: float = 0.0
     failures: int = 0
@@ -174,6 +177,7 @@
             is_known = self._is_recent(signal, now_s) and signal.latency_s
             weight = _MEAN_WEIGHT if is_known else 1.0
             signal.latency_s += weight * (taken_s - signal.latency_s)
+            _update_usual(signal, now_s)
             signal.failures = 0
         elif outcome.cause in _TARGET_FAILURES:
             self._block(signal, now_s)
@@ -236,12 +240,18 @@
         rank: Rank,
         now_s: float,
     ) -> float:
+        """Return the lowest latency that the members have, or usually have.
+
+        The usual latency shows that a member got slow where no other member
+        has answered lately.
+        """
         signals = [self._signal(member.host, rank) for member in members]
-        known = [
+        known = [signal.usual_s for signal in signals if signal.usual_s]
+        known.extend(
             signal.latency_s
             for signal in signals
             if signal.latency_s and self._is_recent(signal, now_s)
-        ]
+        )
         return min(known, default=0.0)
 
     def _is_good(
@@ -254,9 +264,10 @@
         signal = self._signal(member.host, rank)
         if self._load(signal, member, now_s) >= 1:
             return False
-        if not best_s or not self._is_recent(signal, now_s):
+        if signal.latency_s <= best_s * _SLOW_FACTOR + _SLOW_SLACK_S:
             return True
-        return signal.latency_s <= best_s * _SLOW_FACTOR + _SLOW_SLACK_S
+        # A slow member is tried again with one request at a time.
+        return not self._is_recent(signal, now_s) and not signal.outstanding
 
     def _least_blocked(
         self,
@@ -276,6 +287,13 @@
         signal.blocked_until_s = now_s + block_s
 
 
+def _update_usual(signal: Signal, now_s: float) -> None:
+    """Lower the usual latency at once, or raise it by 2% a second."""
+    rise = 1 + _USUAL_RISE_PER_S * (now_s - signal.heard_at_s)
+    usual_s = signal.usual_s * rise or signal.latency_s
+    signal.usual_s = min(usual_s, signal.latency_s)
+
+
 class RandomChoice:
     """Any member with equal probability; the baseline.
 
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -64,6 +64,25 @@
         self.assertEqual(_pick(choice, _MEMBERS, now_s=0.5), 'zone')
         self.assertEqual(_pick(choice, _MEMBERS, now_s=4), 'near')
 
+    def test_slow_host_is_known_by_its_own_past(self) -> None:
+        """A slow server loses its traffic though no other was heard of."""
+        choice = _choice()
+        for step in range(20):
+            _tell(choice, 'near', now_s=step / 10)
+        for step in range(10):
+            _tell(choice, 'near', taken_s=0.4, now_s=2 + step / 10)
+        self.assertEqual(_pick(choice, _MEMBERS, now_s=3), 'zone')
+
+    def test_slow_host_is_retried_with_one_request(self) -> None:
+        """While one request tries a slow server, others stay away."""
+        choice = _choice()
+        _tell(choice, 'near')
+        for _ in range(20):
+            _tell(choice, 'near', taken_s=0.4)
+        self.assertEqual(_pick(choice, _MEMBERS, now_s=4), 'near')
+        choice.started(HostId('near'), _URGENT)
+        self.assertEqual(_pick(choice, _MEMBERS, now_s=4.1), 'zone')
+
     def test_failing_host_is_blocked_for_a_while(self) -> None:
         """After a failure a backend server rests, longer each time."""
         choice = _choice()
