--- a/src/ragwortstand/tools/capacity.py
+++ b/src/ragwortstand/tools/capacity.py
@@ -153,7 +153,7 @@
     """Return the memory of a daemon at the size of the aim."""
     memory = _line(push, lambda one: one.memory_bytes)
     held = fit([(one.members, one.memory_bytes) for one in members])
-    memory_bytes = memory.intercept + held.at(_DAEMONS)
+    memory_bytes = memory.at(_DAEMONS)
     return {
         'memory_floor': f'{memory.intercept / _MEBIBYTE:.0f}',
         'memory_slope': f'{memory.slope / 1024:+.1f}',
--- a/src/ragwortstand/tools/capacity_page.py
+++ b/src/ragwortstand/tools/capacity_page.py
@@ -35,7 +35,7 @@
 |---|---|---|---|---|
 | control bytes a second | rest {rest_slope} B/s; a change {change_slope} B, {change_each} B at 2,200 | {bytes_per_s} B/s = {rest_bytes} at rest + {change_bytes} for changes + {news_bytes} for news of members (4 changes a restart, 2 a failure, told {news_repeats} times) | 5,120 B/s | {bytes_verdict} |
 | processor time | whole fleets {cpu_slope}, {cpu_floor} of a core at 2,200 without the growth of the list; an interval of probing {tick_ms} ms, a change of a member {taken_ms} ms at 2,200 | {cpu} of a core | 3.3% | {cpu_verdict} |
-| memory | {memory_floor} MiB with few members ({memory_slope} KiB a daemon in whole fleets); {member_bytes} B a member in the list | {memory} MiB | 128 MiB | {memory_verdict} |
+| memory | {memory_floor} MiB with few members ({memory_slope} KiB a daemon in whole fleets); {member_bytes} B of them a member in the list | {memory} MiB | 128 MiB | {memory_verdict} |
 
 Mechanisms: probes inside the zone are one a second whatever the size of the
 fleet, and the bridges' probes are shared by more daemons, so bytes at rest
@@ -91,14 +91,16 @@
 At the aim's rate each daemon spends {call_core} of a core on calls when every
 call takes the hop. This is the data path and not in the 3.3% for control.
 
-**Where the design misses the aim.** 0.34 ms at the 99th percentile is about
-reached for the own backend server and missed over another daemon. In a mesh
-most calls go to another service and take the hop. To reach the aim there, the
-hop must cost about half: a stream between daemons without the thread
-hand-overs of `pynng` (an early trial gave 0.28 / 0.38 ms for such a hop as a whole), or the
-caller's library choosing the daemon beside the backend server itself. 15 deep
-the additions add up: 15 times the median, and the 99th percentile of a sum
-lies well below 15 times that of one call.
+**Where the design misses the aim.** The speed of the machine varies by a
+factor of three between runs; `docs/MEASUREMENTS.md` has all of them. In quiet
+runs 0.34 ms at the 99th percentile is met over the own backend server, and in
+no run over another daemon. In a mesh most calls go to another service and
+take the hop. To reach the aim there, the hop must cost about half: a stream
+between daemons without the thread hand-overs of `pynng` (an early trial gave
+0.28 / 0.38 ms for such a hop as a whole), or the caller's library choosing
+the daemon beside the backend server itself. 15 deep the additions add up: 15
+times the median, and the 99th percentile of a sum lies below 15 times that of
+one call.
 
 **Keyed requests.** With three rows each and {keyed_per_s} keyed requests a
 second the table's writes (500 a second assumed) are used up; that is
