Clear suspects everywhere, and see a crash that still accepts connections

A process that exits may close the lost connection before its listening socket, so the one probe succeeded and the crash was taken for a lost connection. A popular request was in flight when a backend server was killed; each daemon kept it as a suspect after it had completed at its home, and showing it to the home used up the budget of retries.

Change: a lost connection is probed twice, 50 ms apart. A suspect that completes is cleared at all daemons of the service. The way to a suspect's home is free of the budget.

Ruled out: fingerprints with the caller's headers, which a repetition through another library would change.

--- a/src/ragwortstand/backend_servers/crash_watch.py
+++ b/src/ragwortstand/backend_servers/crash_watch.py
@@ -26,6 +26,8 @@
     Awaitable[None],
 ]
 
+ClearListener: TypeAlias = Callable[[Fingerprint], Awaitable[None]]
+
 
 @dataclass(slots=True)
 class Flights:
@@ -67,6 +69,7 @@
         self.flights = Flights()
         self.record = CrashRecord()
         self.on_crash: CrashListener = _no_listener
+        self.on_clear: ClearListener = _no_clear_listener
 
     async def after_loss(
         self,
@@ -110,6 +113,11 @@
         if recent:
             await self._crashed(recent)
 
+    async def clear(self, fingerprint: Fingerprint) -> None:
+        """Forget a suspect that has completed, here and at the others."""
+        self.record.clear(fingerprint)
+        await self.on_clear(fingerprint)
+
     async def _crashed(self, suspects: Iterable[Fingerprint]) -> None:
         found = tuple(set(suspects))
         quarantined = self.record.add(found, anyio.current_time())
@@ -121,3 +129,7 @@
 
 async def _no_listener(suspects: tuple[Fingerprint, ...]) -> None:
     """Do nothing after a crash."""
+
+
+async def _no_clear_listener(fingerprint: Fingerprint) -> None:
+    """Do nothing when a suspect is cleared."""
--- a/src/ragwortstand/backend_servers/server.py
+++ b/src/ragwortstand/backend_servers/server.py
@@ -53,6 +53,9 @@
 )
 
 
+_SECOND_PROBE_S = 0.05
+
+
 class BackendState(enum.Enum):
     """What is known of the backend server beside this daemon."""
 
@@ -276,8 +279,8 @@
                 return Unknown(Cause.ANSWER_TOO_LARGE)
             except BackendServerError as error:
                 return await self._after_error(call, flights, error)
-        if self.crashes.record:
-            self.crashes.record.clear(call.fingerprint)
+        if self._is_suspect(call):
+            await self.crashes.clear(call.fingerprint)
         return answered
 
     async def _after_error(
@@ -295,6 +298,13 @@
         return Unknown(cause)
 
     async def _accepts_connections(self) -> bool:
+        """Try two connections; a dying process may still accept the first."""
+        if not await self._accepts_connection():
+            return False
+        await anyio.sleep(_SECOND_PROBE_S)
+        return await self._accepts_connection()
+
+    async def _accepts_connection(self) -> bool:
         if self.announcement is None:
             return False
         endpoint = Endpoint(self.announcement.address, self.announcement.port)
--- a/src/ragwortstand/daemon.py
+++ b/src/ragwortstand/daemon.py
@@ -36,6 +36,7 @@
     Member,
     MemberState,
     Ping,
+    SuspectCleared,
 )
 from ragwortstand.peers.retries import retries_for
 from ragwortstand.peers.scopes import LinkScopes
@@ -216,6 +217,7 @@
         self._backend_server = BackendServer(settings, self._log)
         self._backend_server.on_change = self._on_backend_server
         self._backend_server.crashes.on_crash = self._on_crash
+        self._backend_server.crashes.on_clear = self._on_clear
         self._backend_server.is_home = lambda call: self._homes.is_home(
             ServiceName(call.service.name), call.fingerprint
         )
@@ -342,14 +344,27 @@
 
     async def _on_crash(self, suspects: tuple[Fingerprint, ...]) -> None:
         """Tell the daemons that could run the suspects next."""
+        await self._tell_service(CrashSuspects(suspects))
+
+    async def _on_clear(self, fingerprint: Fingerprint) -> None:
+        await self._tell_service(SuspectCleared(fingerprint))
+
+    async def _tell_service(
+        self,
+        message: CrashSuspects | SuspectCleared,
+    ) -> None:
+        """Tell the daemons whose backend servers offer the same service."""
         service = self._backend_server.service
-        message = CrashSuspects(suspects)
         async with anyio.create_task_group() as tellers:
             for member in self._members.peers():
                 if member.service == service:
                     tellers.start_soon(self._tell, member, message)
 
-    async def _tell(self, member: Member, message: CrashSuspects) -> None:
+    async def _tell(
+        self,
+        member: Member,
+        message: CrashSuspects | SuspectCleared,
+    ) -> None:
         await self._forwarder.tell(member, message, _MARK_TIMEOUT_S)
 
     def _snapshot(self) -> Snapshot | None:
--- a/src/ragwortstand/peers/forwarding.py
+++ b/src/ragwortstand/peers/forwarding.py
@@ -20,6 +20,7 @@
     CrashSuspects,
     Done,
     Member,
+    SuspectCleared,
     Work,
     WorkDone,
     outcome_of,
@@ -84,7 +85,7 @@
     async def tell(
         self,
         member: Member,
-        message: CancelWork | CrashSuspects,
+        message: CancelWork | CrashSuspects | SuspectCleared,
         timeout_s: float,
     ) -> None:
         """Send a message whose loss does no harm.
--- a/src/ragwortstand/peers/handlers.py
+++ b/src/ragwortstand/peers/handlers.py
@@ -22,6 +22,7 @@
     Ping,
     Reply,
     Request,
+    SuspectCleared,
     Work,
 )
 from ragwortstand.peers.store_watch import StoreWatch
@@ -70,6 +71,9 @@
                 now_s = anyio.current_time()
                 self._crash_record.add(request.fingerprints, now_s)
                 return Done()
+            case SuspectCleared():
+                self._crash_record.clear(request.fingerprint)
+                return Done()
             case _:
                 return await self._handle_control(sender, request)
 
--- a/src/ragwortstand/peers/messages.py
+++ b/src/ragwortstand/peers/messages.py
@@ -253,6 +253,12 @@
     fingerprints: tuple[Fingerprint, ...]
 
 
+class SuspectCleared(_Message, frozen=True):
+    """A suspect has completed on a backend server."""
+
+    fingerprint: Fingerprint
+
+
 class Refusal(_Message, frozen=True):
     """The message was not processed.
 
@@ -273,6 +279,7 @@
     | Work
     | CancelWork
     | CrashSuspects
+    | SuspectCleared
 )
 Reply: TypeAlias = (
     Pong
--- a/src/ragwortstand/peers/retries.py
+++ b/src/ragwortstand/peers/retries.py
@@ -63,7 +63,12 @@
             earned = budget.tokens + call.service.retry_share
             budget.tokens = min(_BURST, earned)
             return False
-        if not _may_repeat(call, outcome, now_s) or budget.tokens < 1:
+        if not _may_repeat(call, outcome, now_s):
+            return False
+        if outcome.cause is Cause.SUSPECT:
+            # A suspect is shown to its home; that is no further attempt.
+            return True
+        if budget.tokens < 1:
             return False
         budget.tokens -= 1
         return True
--- a/tests/test_backend_server.py
+++ b/tests/test_backend_server.py
@@ -144,6 +144,22 @@
         self.assertEqual(outcome, Unknown(Cause.CONNECTION_LOST))
         self.assertEqual(self.told, [])
 
+    async def test_completed_suspect_is_cleared_everywhere(self) -> None:
+        """A suspect that completes is cleared, and the others are told."""
+        cleared: list[Fingerprint] = []
+
+        async def tell(fingerprint: Fingerprint) -> None:
+            cleared.append(fingerprint)
+
+        self.server.crashes.on_clear = tell
+        now_s = anyio.current_time()
+        self.server.crashes.record.add([_call().fingerprint], now_s)
+        async with running_server(answering(OK, OK)) as endpoint:
+            await self._announce(endpoint)
+            for _ in range(2):
+                await self.server.run(_call())
+        self.assertEqual(cleared, [_call().fingerprint])
+
     async def test_fast_restarts_are_crashes(self) -> None:
         """Losses just before a restart count as a crash, twice condemn."""
         async with running_server(_lose) as endpoint:
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -177,6 +177,13 @@
                 attempts += 1
         self.assertLessEqual(attempts, 1000 * 1.2)
 
+    def test_sending_a_suspect_home_is_free(self) -> None:
+        """The way to the home of a suspect does not use the budget."""
+        retries = BudgetedRetries()
+        suspect = Refused(Cause.SUSPECT)
+        allowed = [retries.allows(_call(), suspect, 0) for _ in range(100)]
+        self.assertTrue(all(allowed))
+
     def test_naive_baseline_multiplies(self) -> None:
         """The baseline fails where the budget holds."""
         retries = NaiveRetries()
