Move the product's storage code out of the platform package

Cause: the adapter to the users' platform needs a folder of its own, and the package named platform held product logic: acceptance, claims, entry points, the table protocols and the client of our own interface.

Change: the package is storage/ now; imports follow. No behaviour changes.

Ruled out: two packages with one copy each; every type would exist twice.

--- a/src/ragwortstand/callers/once.py
+++ b/src/ragwortstand/callers/once.py
@@ -18,7 +18,7 @@
 from ragwortstand.exceptions import PlatformError
 from ragwortstand.ids import HostId, ServiceName
 from ragwortstand.peers.homes import Homes
-from ragwortstand.platform.claims import (
+from ragwortstand.storage.claims import (
     MAX_KEPT_BODY_BYTES,
     Claim,
     ClaimTable,
--- a/src/ragwortstand/daemon.py
+++ b/src/ragwortstand/daemon.py
@@ -41,14 +41,14 @@
 from ragwortstand.peers.retries import retries_for
 from ragwortstand.peers.scopes import LinkScopes
 from ragwortstand.peers.store_watch import StoreWatch
-from ragwortstand.platform import (
+from ragwortstand.servers import HttpServer, bind, http_server, port_of
+from ragwortstand.settings import DaemonSettings
+from ragwortstand.storage import (
     Acceptance,
     ClaimTable,
     EntryPoints,
     PlatformClient,
 )
-from ragwortstand.servers import HttpServer, bind, http_server, port_of
-from ragwortstand.settings import DaemonSettings
 from ragwortstand.versions import Snapshot, VersionGate
 
 _WATCH_LINKS_S = 0.5
--- a/src/ragwortstand/operators/admin.py
+++ b/src/ragwortstand/operators/admin.py
@@ -27,7 +27,8 @@
     SubmissionReport,
 )
 from ragwortstand.operators.fleet_report import FleetReport
-from ragwortstand.platform import (
+from ragwortstand.settings import AdminSettings
+from ragwortstand.storage import (
     Acceptance,
     Accepted,
     Conflict,
@@ -36,7 +37,6 @@
     SubmissionOutcome,
     Unavailable,
 )
-from ragwortstand.settings import AdminSettings
 from ragwortstand.versions import VersionGate
 
 _DEFAULT_HISTORY = 20
--- a/src/ragwortstand/operators/documents.py
+++ b/src/ragwortstand/operators/documents.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from ragwortstand.ids import HostId, Version
-from ragwortstand.platform import VersionRecord
+from ragwortstand.storage import VersionRecord
 
 
 class FaultReport(msgspec.Struct, frozen=True):
--- a/src/ragwortstand/operators/fleet_report.py
+++ b/src/ragwortstand/operators/fleet_report.py
@@ -14,7 +14,7 @@
 from ragwortstand.peers.distribution import Distributor
 from ragwortstand.peers.members import Members
 from ragwortstand.peers.messages import Member
-from ragwortstand.platform import VersionRecord
+from ragwortstand.storage import VersionRecord
 
 _ASKED_AT_ONCE = 64
 
--- a/src/ragwortstand/operators/render.py
+++ b/src/ragwortstand/operators/render.py
@@ -15,7 +15,7 @@
     StatusReport,
     SubmissionReport,
 )
-from ragwortstand.platform import VersionRecord
+from ragwortstand.storage import VersionRecord
 
 
 class Difference(msgspec.Struct, frozen=True):
--- a/src/ragwortstand/peers/distribution.py
+++ b/src/ragwortstand/peers/distribution.py
@@ -31,8 +31,8 @@
     OfferVersion,
     VersionContent,
 )
-from ragwortstand.platform import Acceptance, VersionRecord
 from ragwortstand.settings import DaemonSettings
+from ragwortstand.storage import Acceptance, VersionRecord
 from ragwortstand.versions import Offer, Snapshot, VersionGate
 
 _FANOUT = 4
--- a/src/ragwortstand/peers/joining.py
+++ b/src/ragwortstand/peers/joining.py
@@ -15,7 +15,7 @@
 from ragwortstand.ids import PeerAddress
 from ragwortstand.peers.gossip import Gossip
 from ragwortstand.peers.members import Members
-from ragwortstand.platform import EntryPoint, EntryPoints
+from ragwortstand.storage import EntryPoint, EntryPoints
 
 _KEEPERS = 2
 _ALONE_INTERVAL_S = 0.5
--- a/src/ragwortstand/platform/__init__.py
+++ b/src/ragwortstand/storage/__init__.py
@@ -1,6 +1,6 @@
-"""ragwortstand.platform: the platform's table service and object store."""
+"""ragwortstand.storage: the platform's table service and object store."""
 
-from ragwortstand.platform.acceptance import (
+from ragwortstand.storage.acceptance import (
     Acceptance,
     Accepted,
     Conflict,
@@ -10,9 +10,9 @@
     Unavailable,
     VersionRecord,
 )
-from ragwortstand.platform.claims import ClaimTable
-from ragwortstand.platform.client import PlatformClient
-from ragwortstand.platform.entry_points import EntryPoint, EntryPoints
+from ragwortstand.storage.claims import ClaimTable
+from ragwortstand.storage.client import PlatformClient
+from ragwortstand.storage.entry_points import EntryPoint, EntryPoints
 
 __all__ = (
     'Acceptance',
--- a/src/ragwortstand/platform/acceptance.py
+++ b/src/ragwortstand/storage/acceptance.py
@@ -1,4 +1,4 @@
-"""ragwortstand.platform.acceptance: commit new configuration versions.
+"""ragwortstand.storage.acceptance: commit new configuration versions.
 
 A submission is accepted by one conditional transaction that moves the head
 row from its base version to the next one. The submission id makes a repeated
@@ -18,7 +18,7 @@
 )
 from ragwortstand.ids import NO_VERSION, Digest, SubmissionId, Version
 from ragwortstand.models import digest_of
-from ragwortstand.platform.table import (
+from ragwortstand.storage.table import (
     Condition,
     ObjectStore,
     Row,
--- a/src/ragwortstand/platform/claims.py
+++ b/src/ragwortstand/storage/claims.py
@@ -1,4 +1,4 @@
-"""ragwortstand.platform.claims: rows that say who runs a keyed request.
+"""ragwortstand.storage.claims: rows that say who runs a keyed request.
 
 Claims that arrive together travel in one conditional transaction. Outcomes
 and deletions are written behind, in batches, and survive an outage of the
@@ -14,7 +14,7 @@
 
 from ragwortstand.exceptions import PlatformError
 from ragwortstand.ids import HostId
-from ragwortstand.platform.table import (
+from ragwortstand.storage.table import (
     Condition,
     Row,
     TableService,
--- a/src/ragwortstand/platform/client.py
+++ b/src/ragwortstand/storage/client.py
@@ -1,4 +1,4 @@
-"""ragwortstand.platform.client: HTTP client of the platform."""
+"""ragwortstand.storage.client: HTTP client of the platform."""
 
 from collections.abc import Callable
 from typing import TypeVar
@@ -11,12 +11,12 @@
 from ragwortstand.events import Event, EventLog
 from ragwortstand.exceptions import PlatformError
 from ragwortstand.metrics import Metrics
-from ragwortstand.platform.table import (
+from ragwortstand.settings import PlatformSettings
+from ragwortstand.storage.table import (
     Row,
     Transaction,
     TransactionResult,
 )
-from ragwortstand.settings import PlatformSettings
 from ragwortstand.verdicts import Verdict
 
 _Document = TypeVar('_Document')
--- a/src/ragwortstand/platform/entry_points.py
+++ b/src/ragwortstand/storage/entry_points.py
@@ -1,9 +1,9 @@
-"""ragwortstand.platform.entry_points: rows through which newcomers join."""
+"""ragwortstand.storage.entry_points: rows through which newcomers join."""
 
 import msgspec
 
 from ragwortstand.ids import HostId, PeerAddress, ZoneName
-from ragwortstand.platform.table import Row, TableService, Transaction, Write
+from ragwortstand.storage.table import Row, TableService, Transaction, Write
 
 _PREFIX = 'entry/'
 _MAX_ROWS = 64
--- a/src/ragwortstand/platform/table.py
+++ b/src/ragwortstand/storage/table.py
@@ -1,4 +1,4 @@
-"""ragwortstand.platform.table: rows, conditions and transactions."""
+"""ragwortstand.storage.table: rows, conditions and transactions."""
 
 from typing import Protocol
 
--- a/src/ragwortstand/tools/standin_platform.py
+++ b/src/ragwortstand/tools/standin_platform.py
@@ -14,7 +14,7 @@
 from starlette.responses import Response
 from starlette.routing import Route
 
-from ragwortstand.platform.table import Row, Transaction, TransactionResult
+from ragwortstand.storage.table import Row, Transaction, TransactionResult
 
 
 class Faults(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -7,7 +7,7 @@
 from ragwortstand.ids import HostId, PeerAddress, RegionName, ZoneName
 from ragwortstand.models import Configuration, Rank, Route, Service
 from ragwortstand.peers.messages import Member, MemberState
-from ragwortstand.platform.table import Row, Transaction, TransactionResult
+from ragwortstand.storage.table import Row, Transaction, TransactionResult
 from ragwortstand.tools.standin_platform import Table
 from ragwortstand.verdicts import Verdict
 
--- a/tests/test_acceptance.py
+++ b/tests/test_acceptance.py
@@ -3,7 +3,7 @@
 import unittest
 
 from ragwortstand.ids import SubmissionId, Version
-from ragwortstand.platform import (
+from ragwortstand.storage import (
     Acceptance,
     Accepted,
     Conflict,
--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -20,8 +20,8 @@
 from ragwortstand.models import Rank, Service
 from ragwortstand.peers.homes import Homes
 from ragwortstand.peers.members import Members
-from ragwortstand.platform.claims import Claim, ClaimTable
 from ragwortstand.settings import MembershipSettings
+from ragwortstand.storage.claims import Claim, ClaimTable
 from ragwortstand.verdicts import (
     Answered,
     Cause,
