--- a/src/ragwortstand/backend_servers/admission.py
+++ b/src/ragwortstand/backend_servers/admission.py
@@ -23,11 +23,17 @@
     :param rank: rank of the work.
     :param granted: set when the ticket holds a slot.
     :param granted_at_s: when it was granted; None while it is queued.
+    :param goal_s: when the answer loses most of its use.
+    :param deadline_s: when the answer is of no more use.
+    :param refusal: why it was taken out of the queue, if it was.
     """
 
     rank: str
     granted: anyio.Event = field(default_factory=anyio.Event)
     granted_at_s: float | None = None
+    goal_s: float = math.inf
+    deadline_s: float = math.inf
+    refusal: Refused | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,11 +43,13 @@
     :param slots: slots that may be used now.
     :param in_use: slots in use.
     :param queued: requests in all queues.
+    :param service_s: mean time that a request takes; 0 means unknown.
     """
 
     slots: int
     in_use: int
     queued: int
+    service_s: float = 0.0
 
     @property
     def busy(self) -> float:
@@ -77,10 +85,18 @@
         rank: str,
         deadline_s: float,
         now_s: float,
+        *,
+        goal_s: float | None = None,
     ) -> Ticket | Refused:
         """Queue a request or refuse it at once."""
 
-    def leave(self, ticket: Ticket, now_s: float) -> None:
+    def leave(
+        self,
+        ticket: Ticket,
+        now_s: float,
+        *,
+        has_run: bool = True,
+    ) -> None:
         """Give a ticket back, whether it was granted or not."""
 
     def load(self, now_s: float) -> Load:
@@ -136,12 +152,15 @@
         rank: str,
         deadline_s: float,
         now_s: float,
+        *,
+        goal_s: float | None = None,
     ) -> Ticket | Refused:
         """Queue a request or refuse it at once.
 
         :param rank: name of its rank.
         :param deadline_s: when the answer is of no more use.
         :param now_s: present time.
+        :param goal_s: not used; the target of the rank decides.
         """
         line = self._line(rank)
         wait_s = self._wait_s(line, now_s)
@@ -156,11 +175,18 @@
         self._grant(now_s)
         return ticket
 
-    def leave(self, ticket: Ticket, now_s: float) -> None:
+    def leave(
+        self,
+        ticket: Ticket,
+        now_s: float,
+        *,
+        has_run: bool = True,
+    ) -> None:
         """Give a ticket back, whether it was granted or not.
 
         :param ticket: the ticket that `enter` returned.
         :param now_s: present time.
+        :param has_run: not used; each use of a slot counts.
         """
         line = self._lines[ticket.rank]
         if ticket.granted_at_s is None:
@@ -254,6 +280,8 @@
         rank: str,
         deadline_s: float,
         now_s: float,
+        *,
+        goal_s: float | None = None,
     ) -> Ticket | Refused:
         """Queue a request; it is never refused."""
         ticket = Ticket(rank)
--- a/src/ragwortstand/backend_servers/clients.py
+++ b/src/ragwortstand/backend_servers/clients.py
@@ -1,7 +1,6 @@
-"""ragwortstand.backend_servers.clients: two HTTP clients for one protocol.
+"""ragwortstand.backend_servers.clients: an HTTP client over httptools.
 
-httptools, the parser that uvicorn uses, works directly on a transport;
-httpcore is the baseline.
+httptools, the parser that uvicorn uses, works directly on a transport.
 """
 
 import asyncio
@@ -9,7 +8,6 @@
 from typing import cast
 
 import anyio
-import httpcore
 import httptools
 
 from ragwortstand.backend_servers.connections import (
@@ -25,6 +23,10 @@
 from ragwortstand.verdicts import Answered, Header, Verdict
 
 CONNECT_TIMEOUT_S = 1.0
+# Headers that tell where the body of an answer ends.
+_FRAMING = frozenset((b'content-length', b'transfer-encoding'))
+# Statuses whose answers have no body (RFC 9110, section 6.4.1).
+_WITHOUT_BODY = frozenset((204, 304))
 # Seconds of silence before a probe and between probes, and how many.
 _KEEPALIVE = (
     (socket.TCP_KEEPIDLE, 1),
@@ -33,6 +35,11 @@
 )
 
 
+# Time that sent bytes may stay unacknowledged; the backend server is on the
+# same host, so a live connection acknowledges within milliseconds.
+_USER_TIMEOUT_MS = 400
+
+
 class HttptoolsConnection(asyncio.Protocol):
     """HTTP/1.1 connection over the httptools parser.
 
@@ -46,6 +53,9 @@
         self._max_answer_bytes = max_answer_bytes
         self._transport: asyncio.Transport | None = None
         self._answer: asyncio.Future[Answered] | None = None
+        self._headers: list[Header] = []
+        self._parts: list[bytes] = []
+        self._echo: Header | None = None
         self._reset()
 
     @classmethod
@@ -79,12 +89,14 @@
     async def exchange(self, request: WireRequest) -> Answered:
         """Send a request and return the whole answer.
 
-        :raises BackendServerError: when the connection ends early.
+        :raises BackendServerError: when the connection ends early, or sends
+            what is no answer to the request.
         """
         if self._transport is None or self._transport.is_closing():
             raise BackendServerError('connection is closed', Verdict.NOT_RUN)
         self._reset()
         self._is_head = request.method == 'HEAD'
+        self._echo = request.echo
         self._answer = asyncio.get_running_loop().create_future()
         self._transport.write(_encode(request, self._host))
         try:
@@ -105,22 +117,36 @@
         self._transport = cast(asyncio.Transport, transport)
         _watch_connection(transport.get_extra_info('socket'))
 
+    def eof_received(self) -> None:
+        """End an answer whose body lasts until the connection ends."""
+        if self._is_until_end:
+            self.on_message_complete()
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the exchange that was under way."""
         self._transport = None
-        problem = f'connection lost: {exc}'
-        self._fail(BackendServerError(problem, Verdict.MAY_HAVE_RUN))
+        self._fail(f'connection lost: {exc}')
 
     def data_received(self, data: bytes) -> None:
-        """Feed the parser."""
-        if self._answer is None:
+        """Feed the parser; bytes that no request asked for end the connection.
+
+        Such bytes may be an answer to an earlier request.
+        """
+        if self._answer is None or self._answer.done():
             self.close()
             return
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
-            problem = f'malformed answer: {error}'
-            self._fail(BackendServerError(problem, Verdict.MAY_HAVE_RUN))
+            self._fail(f'malformed answer: {error}')
+            self.close()
+
+    def on_message_begin(self) -> None:
+        """Start an answer; one too many ends the connection."""
+        self._headers = []
+        self._parts = []
+        self._size_bytes = 0
+        if self._answer is None or self._answer.done():
             self.close()
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -132,124 +158,66 @@
         if self._is_head:
             self._finish()
             self.close()
+            return
+        names = {name for name, _ in self._headers}
+        status = self._parser.get_status_code()
+        has_body = status >= 200 and status not in _WITHOUT_BODY
+        self._is_until_end = has_body and not names & _FRAMING
 
     def on_body(self, body: bytes) -> None:
         """Collect a part of the body."""
         self._size_bytes += len(body)
         if self._size_bytes > self._max_answer_bytes:
-            self._fail(AnswerTooLargeError())
+            if self._answer is not None and not self._answer.done():
+                self._answer.set_exception(AnswerTooLargeError())
             self.close()
             return
         self._parts.append(body)
 
     def on_message_complete(self) -> None:
-        """Deliver the answer."""
-        if self._parser.get_status_code() >= 200:
-            self._finish()
+        """Deliver the answer, unless it belongs to another request."""
+        if self._parser.get_status_code() < 200:
+            return
+        echo = self._echo
+        if echo and echo not in self._headers:
+            self._is_doubtful = True
+            if echo[0] not in dict(self._headers):
+                self._fail('answer does not name its request')
+                self.close()
+            return
+        self._finish()
 
     def _reset(self) -> None:
         self._parser = httptools.HttpResponseParser(self)
-        self._headers: list[Header] = []
-        self._parts: list[bytes] = []
+        self._headers = []
+        self._parts = []
         self._size_bytes = 0
         self._is_head = False
+        self._echo = None
+        self._is_until_end = False
+        self._is_doubtful = False
 
     def _finish(self) -> None:
         if self._answer is None or self._answer.done():
             return
-        if not self._parser.should_keep_alive():
-            self.close()
         answered = Answered(
             self._parser.get_status_code(),
             end_to_end(tuple(self._headers)),
             b''.join(self._parts),
         )
         self._answer.set_result(answered)
+        if self._is_doubtful or not self._parser.should_keep_alive():
+            self.close()
 
-    def _fail(self, error: BackendServerError) -> None:
+    def _fail(self, problem: str) -> None:
         if self._answer is not None and not self._answer.done():
+            error = BackendServerError(problem, Verdict.MAY_HAVE_RUN)
             self._answer.set_exception(error)
 
 
-class HttpcoreConnection:
-    """HTTP/1.1 connection of httpcore; the baseline.
-
-    :param connection: the library's connection.
-    :param endpoint: address of the server.
-    :param max_answer_bytes: limit of an answer's body.
-    """
-
-    def __init__(
-        self,
-        connection: httpcore.AsyncHTTP11Connection,
-        endpoint: Endpoint,
-        max_answer_bytes: int,
-    ) -> None:
-        """Wrap an open connection."""
-        self._connection = connection
-        self._url = f'http://{endpoint.address}:{endpoint.port}'
-        self._max_answer_bytes = max_answer_bytes
-        self._is_closed = False
-
-    @classmethod
-    async def connect(
-        cls,
-        endpoint: Endpoint,
-        max_answer_bytes: int,
-    ) -> 'HttpcoreConnection':
-        """Open a connection.
-
-        :raises BackendServerError: when the server does not accept in time.
-        """
-        origin = httpcore.Origin(
-            b'http', endpoint.address.encode(), endpoint.port
-        )
-        try:
-            stream = await httpcore.AnyIOBackend().connect_tcp(
-                endpoint.address, endpoint.port, timeout=CONNECT_TIMEOUT_S
-            )
-        except (httpcore.NetworkError, httpcore.TimeoutException) as error:
-            raise BackendServerError(str(error), Verdict.NOT_RUN) from error
-        connection = httpcore.AsyncHTTP11Connection(origin, stream)
-        return cls(connection, endpoint, max_answer_bytes)
-
-    @property
-    def is_reusable(self) -> bool:
-        """Return whether another exchange may follow."""
-        if self._is_closed or self._connection.is_closed():
-            return False
-        return not self._connection.has_expired()
-
-    async def exchange(self, request: WireRequest) -> Answered:
-        """Send a request and return the whole answer.
-
-        :raises BackendServerError: when the connection ends early.
-        """
-        try:
-            answer = await self._connection.request(
-                request.method,
-                self._url + request.target,
-                headers=list(end_to_end(request.headers)),
-                content=request.body,
-            )
-        except (httpcore.NetworkError, httpcore.ProtocolError) as error:
-            problem = str(error)
-            verdict = Verdict.MAY_HAVE_RUN
-            raise BackendServerError(problem, verdict) from error
-        if len(answer.content) > self._max_answer_bytes:
-            raise AnswerTooLargeError
-        headers = tuple((name.lower(), text) for name, text in answer.headers)
-        return Answered(answer.status, end_to_end(headers), answer.content)
-
-    def close(self) -> None:
-        """Close the connection as soon as the event loop allows."""
-        self._is_closed = True
-        closing = asyncio.ensure_future(self._connection.aclose())
-        closing.add_done_callback(_ignore_failure)
-
-
 def _encode(request: WireRequest, host: bytes) -> bytes:
     size = len(request.body)
+    host = request.host or host
     lines = [
         f'{request.method} {request.target} HTTP/1.1\r\n'.encode(),
         b'host: %b\r\ncontent-length: %d\r\n' % (host, size),
@@ -271,8 +239,6 @@
     connection.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     for option, amount in _KEEPALIVE:
         connection.setsockopt(socket.IPPROTO_TCP, option, amount)
-
-
-def _ignore_failure(closing: 'asyncio.Future[None]') -> None:
-    if not closing.cancelled():
-        closing.exception()
+    connection.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS
+    )
--- a/src/ragwortstand/backend_servers/connections.py
+++ b/src/ragwortstand/backend_servers/connections.py
@@ -6,7 +6,7 @@
 from typing import Protocol
 
 from ragwortstand.exceptions import BackendServerError
-from ragwortstand.verdicts import Answered, Headers, Verdict
+from ragwortstand.verdicts import Answered, Header, Headers, Verdict
 
 HOP_BY_HOP = frozenset(
     (
@@ -40,12 +40,17 @@
     :param target: path and query.
     :param headers: end-to-end headers, names in lower case.
     :param body: the whole body.
+    :param host: value of the host header; None means the server's address.
+    :param echo: header that the answer to this request must repeat; an
+        answer with another value belongs to another request.
     """
 
     method: str
     target: str
     headers: Headers
     body: bytes
+    host: bytes | None = None
+    echo: Header | None = None
 
 
 class HttpConnection(Protocol):
--- /dev/null
+++ b/src/ragwortstand/backend_servers/dialect.py
@@ -0,0 +1,61 @@
+"""ragwortstand.backend_servers.dialect: how backend servers are spoken to."""
+
+from typing import Protocol
+
+from ragwortstand.backend_servers.connections import WireRequest
+from ragwortstand.calls import Call
+from ragwortstand.verdicts import Answered, Outcome
+
+
+class BackendDialect(Protocol):
+    """Headers of requests to a backend server, and what its answers mean."""
+
+    def request(self, call: Call, instance: str, now_s: float) -> WireRequest:
+        """Return a call as the backend server gets it.
+
+        :param call: the request.
+        :param instance: the backend server that is to run it.
+        :param now_s: present time.
+        """
+
+    def outcome(self, call: Call, answered: Answered) -> Outcome:
+        """Return what an answer says of the request.
+
+        :param call: the request.
+        :param answered: the backend server's whole answer.
+        """
+
+
+class RagwortDialect:
+    """The product's own headers; every answer counts as run."""
+
+    def request(self, call: Call, instance: str, now_s: float) -> WireRequest:
+        """Return a call as the backend server gets it.
+
+        The rest of the deadline, the rank and the attempt travel with it, so
+        that the backend server can pass them on with the calls it makes
+        itself.
+        """
+        return wire_request(call, now_s)
+
+    def outcome(self, call: Call, answered: Answered) -> Outcome:
+        """Return the answer itself."""
+        return answered
+
+
+def wire_request(call: Call, now_s: float) -> WireRequest:
+    """Return a call with the product's own headers.
+
+    :param call: the request.
+    :param now_s: present time.
+    """
+    remaining_ms = int(call.remaining_s(now_s) * 1000)
+    extra = (
+        (b'ragwort-timeout-ms', b'%d' % max(1, remaining_ms)),
+        (b'ragwort-request-id', call.request_id.encode()),
+        (b'ragwort-attempt', b'%d' % call.attempt),
+        (b'ragwort-rank', call.rank.name.encode()),
+    )
+    return WireRequest(
+        call.method, call.target, call.headers + extra, call.body
+    )
--- /dev/null
+++ b/src/ragwortstand/backend_servers/httpcore_client.py
@@ -0,0 +1,99 @@
+"""ragwortstand.backend_servers.httpcore_client: the baseline HTTP client."""
+
+import asyncio
+
+import httpcore
+
+from ragwortstand.backend_servers.clients import CONNECT_TIMEOUT_S
+from ragwortstand.backend_servers.connections import (
+    Endpoint,
+    WireRequest,
+    end_to_end,
+)
+from ragwortstand.exceptions import (
+    AnswerTooLargeError,
+    BackendServerError,
+)
+from ragwortstand.verdicts import Answered, Verdict
+
+
+class HttpcoreConnection:
+    """HTTP/1.1 connection of httpcore; the baseline.
+
+    :param connection: the library's connection.
+    :param endpoint: address of the server.
+    :param max_answer_bytes: limit of an answer's body.
+    """
+
+    def __init__(
+        self,
+        connection: httpcore.AsyncHTTP11Connection,
+        endpoint: Endpoint,
+        max_answer_bytes: int,
+    ) -> None:
+        """Wrap an open connection."""
+        self._connection = connection
+        self._url = f'http://{endpoint.address}:{endpoint.port}'
+        self._max_answer_bytes = max_answer_bytes
+        self._is_closed = False
+
+    @classmethod
+    async def connect(
+        cls,
+        endpoint: Endpoint,
+        max_answer_bytes: int,
+    ) -> 'HttpcoreConnection':
+        """Open a connection.
+
+        :raises BackendServerError: when the server does not accept in time.
+        """
+        origin = httpcore.Origin(
+            b'http', endpoint.address.encode(), endpoint.port
+        )
+        try:
+            stream = await httpcore.AnyIOBackend().connect_tcp(
+                endpoint.address, endpoint.port, timeout=CONNECT_TIMEOUT_S
+            )
+        except (httpcore.NetworkError, httpcore.TimeoutException) as error:
+            raise BackendServerError(str(error), Verdict.NOT_RUN) from error
+        connection = httpcore.AsyncHTTP11Connection(origin, stream)
+        return cls(connection, endpoint, max_answer_bytes)
+
+    @property
+    def is_reusable(self) -> bool:
+        """Return whether another exchange may follow."""
+        if self._is_closed or self._connection.is_closed():
+            return False
+        return not self._connection.has_expired()
+
+    async def exchange(self, request: WireRequest) -> Answered:
+        """Send a request and return the whole answer.
+
+        :raises BackendServerError: when the connection ends early.
+        """
+        try:
+            answer = await self._connection.request(
+                request.method,
+                self._url + request.target,
+                headers=list(end_to_end(request.headers)),
+                content=request.body,
+            )
+        except (httpcore.NetworkError, httpcore.ProtocolError) as error:
+            problem = str(error)
+            verdict = Verdict.MAY_HAVE_RUN
+            raise BackendServerError(problem, verdict) from error
+        if len(answer.content) > self._max_answer_bytes:
+            raise AnswerTooLargeError
+        headers = tuple((name.lower(), text) for name, text in answer.headers)
+        return Answered(answer.status, end_to_end(headers), answer.content)
+
+    def close(self) -> None:
+        """Close the connection as soon as the event loop allows."""
+        self._is_closed = True
+        closing = asyncio.ensure_future(self._connection.aclose())
+        closing.add_done_callback(_ignore_failure)
+
+
+def _ignore_failure(closing: 'asyncio.Future[None]') -> None:
+    if not closing.cancelled():
+        closing.exception()
--- a/src/ragwortstand/backend_servers/server.py
+++ b/src/ragwortstand/backend_servers/server.py
@@ -1,12 +1,12 @@
 """ragwortstand.backend_servers.server: the backend server beside a daemon."""
 
 import enum
-from collections.abc import Awaitable, Callable, Mapping
-from types import MappingProxyType
+from collections.abc import Awaitable, Callable
 from typing import TypeAlias
 
 import anyio
 import msgspec
+from msgspec.structs import replace
 
 from ragwortstand.backend_servers.admission import (
     Admission,
@@ -15,19 +15,19 @@
     ShareAdmission,
     Ticket,
 )
-from ragwortstand.backend_servers.clients import (
-    HttpcoreConnection,
-    HttptoolsConnection,
-)
+from ragwortstand.backend_servers.clients import HttptoolsConnection
 from ragwortstand.backend_servers.connections import (
     Connect,
     ConnectionPool,
     Endpoint,
     HttpConnection,
-    WireRequest,
 )
 from ragwortstand.backend_servers.crash_watch import CrashWatch, Flights
 from ragwortstand.backend_servers.crashes import SUSPICION_S
+from ragwortstand.backend_servers.dialect import (
+    BackendDialect,
+    RagwortDialect,
+)
 from ragwortstand.calls import Call
 from ragwortstand.events import Event, EventLog
 from ragwortstand.exceptions import (
@@ -45,15 +45,9 @@
 )
 from ragwortstand.versions import Snapshot
 
-_CONNECTS: Mapping[str, Connect] = MappingProxyType(
-    {
-        'httptools': HttptoolsConnection.connect,
-        'httpcore': HttpcoreConnection.connect,
-    },
-)
-
-
 _SECOND_PROBE_S = 0.05
+# The answer of a backend server that is not the one that was meant.
+_ANOTHER_SERVER = Refused(Cause.NO_BACKEND_SERVER)
 
 
 class BackendState(enum.Enum):
@@ -75,6 +69,9 @@
     :param slots: requests that it runs at once.
     :param connections: connections that it accepts.
     :param is_draining: whether it wants no more work.
+    :param boot: grows with each start; 0 where it is not told.
+    :param sequence: grows with each announcement of one boot.
+    :param cold_s: how much longer it is slow after its start.
     """
 
     instance: str
@@ -84,6 +81,9 @@
     slots: int
     connections: int
     is_draining: bool = False
+    boot: int = 0
+    sequence: int = 0
+    cold_s: float = 0.0
 
 
 ClaimStep: TypeAlias = Callable[[], Awaitable[Outcome | None]]
@@ -94,18 +94,27 @@
 
     :param settings: the daemon's settings.
     :param log: where events go.
+    :param dialect: headers of requests and the meaning of answers.
+    :param admission: who gets the slots; None takes the settings' policy.
+    :param connect: opens connections to the backend server.
     """
 
-    def __init__(self, settings: DaemonSettings, log: EventLog) -> None:
+    def __init__(
+        self,
+        settings: DaemonSettings,
+        log: EventLog,
+        dialect: BackendDialect | None = None,
+        admission: Admission | None = None,
+        connect: Connect = HttptoolsConnection.connect,
+    ) -> None:
         """Start without a backend server."""
         self._settings = settings.backend_server
         self._max_answer_bytes = settings.limits.max_answer_bytes
         self._log = log
-        self._admission: Admission = (
-            FifoAdmission()
-            if settings.policies.admission == 'fifo'
-            else ShareAdmission()
-        )
+        self._connect = connect
+        self._dialect = dialect or RagwortDialect()
+        self._admission = admission or _admission_for(settings)
+        self._departed: set[tuple[str, int]] = set()
         self._pool: ConnectionPool | None = None
         self._suspect_turn = anyio.Lock()
         self._announced_at_s = 0.0
@@ -121,6 +130,10 @@
         """Return the service that the backend server offers."""
         return self.announcement.service if self.announcement else None
 
+    @property
+    def _instance(self) -> str:
+        return self.announcement.instance if self.announcement else ''
+
     @property
     def in_flight(self) -> int:
         """Return how many requests run on the backend server."""
@@ -148,14 +161,25 @@
         :param announcement: its words.
         :param now_s: present time.
         """
-        self._announced_at_s = now_s
         known = self.announcement
-        is_fresh = known is None or known.instance != announcement.instance
-        if is_fresh:
+        if self._is_outdated(announcement):
+            self._log.emit(
+                Event.BACKEND_SERVER,
+                state='outdated-announcement',
+                instance=announcement.instance,
+                boot=announcement.boot,
+                sequence=announcement.sequence,
+            )
+            return
+        self._announced_at_s = now_s
+        if known is None or _identity(known) != _identity(announcement):
             await self.crashes.restarted(now_s)
             self._restart(announcement, now_s)
         elif self.state is BackendState.DOWN:
             self._admission.open(announcement.slots, 0, now_s)
+        elif known.is_draining and announcement.boot:
+            # A boot that is leaving does not come back.
+            announcement = replace(announcement, is_draining=True)
         self.announcement = announcement
         self._set_state(
             BackendState.DRAINING
@@ -163,6 +187,31 @@
             else BackendState.READY
         )
 
+    def depart(self, instance: str, boot: int) -> None:
+        """Take in that a backend server is leaving and says no more.
+
+        :param instance: the backend server.
+        :param boot: its start; 0 where it is not told.
+        """
+        known = self.announcement
+        self._departed.add((instance, boot))
+        if known is None or known.instance != instance:
+            return
+        if boot in {0, known.boot}:
+            self._departed.add(_identity(known))
+            self.announcement = replace(known, is_draining=True)
+            self._set_state(BackendState.DRAINING)
+
+    def _is_outdated(self, announcement: Announcement) -> bool:
+        """Return whether something newer is known of the address."""
+        if _identity(announcement) in self._departed:
+            return True
+        known = self.announcement
+        if known is None:
+            return False
+        order = (announcement.boot, announcement.sequence)
+        return order < (known.boot, known.sequence)
+
     def expire(self, now_s: float) -> None:
         """Count the backend server as down when its announcements stop.
 
@@ -219,14 +268,21 @@
 
     async def _queue(self, call: Call, claim: ClaimStep) -> Outcome:
         ticket = self._admission.enter(
-            call.rank.name, call.deadline_s, anyio.current_time()
+            call.rank.name,
+            call.deadline_s,
+            anyio.current_time(),
+            goal_s=call.goal_s,
         )
         if isinstance(ticket, Refused):
             return ticket
+        has_run = True
         try:
-            return await self._with_ticket(call, ticket, claim)
+            outcome = await self._with_ticket(call, ticket, claim)
+            has_run = outcome.verdict is not Verdict.NOT_RUN
         finally:
-            self._admission.leave(ticket, anyio.current_time())
+            now_s = anyio.current_time()
+            self._admission.leave(ticket, now_s, has_run=has_run)
+        return outcome
 
     async def _with_ticket(
         self,
@@ -236,6 +292,8 @@
     ) -> Outcome:
         if ticket.granted_at_s is None:
             await ticket.granted.wait()
+        if ticket.refusal:
+            return ticket.refusal
         if not self._is_suspect(call):
             return await claim() or await self._exchange(call)
         async with self._suspect_turn:
@@ -250,8 +308,9 @@
 
     async def _exchange(self, call: Call) -> Outcome:
         pool = self._pool
-        if pool is None or self.state is BackendState.DOWN:
-            return Refused(Cause.BACKEND_SERVER_DOWN)
+        refusal = self._refusal(call)
+        if refusal or pool is None:
+            return refusal or Refused(Cause.BACKEND_SERVER_DOWN)
         reuse_s = (
             self._settings.idle_reuse_s
             if call.is_idempotent
@@ -273,7 +332,9 @@
         with flights.flight(call):
             try:
                 answered = await connection.exchange(
-                    wire_request(call, anyio.current_time())
+                    self._dialect.request(
+                        call, self._instance, anyio.current_time()
+                    )
                 )
             except AnswerTooLargeError:
                 return Unknown(Cause.ANSWER_TOO_LARGE)
@@ -281,7 +342,12 @@
                 return await self._after_error(call, flights, error)
         if self._is_suspect(call):
             await self.crashes.clear(call.fingerprint)
-        return answered
+        outcome = self._dialect.outcome(call, answered)
+        if isinstance(outcome, Refused):
+            call.is_dispatched = False
+        if outcome == _ANOTHER_SERVER:
+            self._down('another backend server has the address')
+        return outcome
 
     async def _after_error(
         self,
@@ -320,12 +386,13 @@
         self._drop_idle_connections()
         endpoint = Endpoint(announcement.address, announcement.port)
         self._pool = ConnectionPool(
-            _CONNECTS[self._settings.client],
+            self._connect,
             endpoint,
             announcement.connections,
             self._max_answer_bytes,
         )
         cold_start_s = self._cold_start_s.get(announcement.service, 0)
+        cold_start_s = max(cold_start_s, announcement.cold_s)
         self._admission.open(announcement.slots, cold_start_s, now_s)
 
     def _down(self, problem: str) -> None:
@@ -345,25 +412,14 @@
         self.on_change()
 
 
-def wire_request(call: Call, now_s: float) -> WireRequest:
-    """Return a call as the backend server gets it.
+def _identity(announcement: Announcement) -> tuple[str, int]:
+    return (announcement.instance, announcement.boot)
 
-    The rest of the deadline, the rank and the attempt travel with it, so that
-    the backend server can pass them on with the calls it makes itself.
 
-    :param call: the request.
-    :param now_s: present time.
-    """
-    remaining_ms = int(call.remaining_s(now_s) * 1000)
-    extra = (
-        (b'ragwort-timeout-ms', b'%d' % max(1, remaining_ms)),
-        (b'ragwort-request-id', call.request_id.encode()),
-        (b'ragwort-attempt', b'%d' % call.attempt),
-        (b'ragwort-rank', call.rank.name.encode()),
-    )
-    return WireRequest(
-        call.method, call.target, call.headers + extra, call.body
-    )
+def _admission_for(settings: DaemonSettings) -> Admission:
+    if settings.policies.admission == 'fifo':
+        return FifoAdmission()
+    return ShareAdmission()
 
 
 def _always(call: Call) -> bool:
--- a/src/ragwortstand/callers/dispatch.py
+++ b/src/ragwortstand/callers/dispatch.py
@@ -80,13 +80,11 @@
             outcome = await self._attempt(call, member)
             last = _worse(last, outcome)
             now_s = anyio.current_time()
-            is_allowed = self._retries.allows(call, outcome, now_s)
-            if isinstance(outcome, Answered):
-                return outcome
-            if not is_allowed:
+            if not self._retries.allows(call, outcome, now_s):
                 return last
             call.attempt += 1
-            call.is_suspect |= outcome.cause in _SUSPICIOUS
+            if not isinstance(outcome, Answered):
+                call.is_suspect |= outcome.cause in _SUSPICIOUS
             self._note_retry(call, member, outcome)
 
     def _choose(self, call: Call, tried: set[HostId]) -> Member | None:
@@ -133,19 +131,27 @@
         member: Member,
         outcome: Outcome,
     ) -> None:
-        assert not isinstance(outcome, Answered)
+        after = 'failed-answer'
+        if not isinstance(outcome, Answered):
+            after = outcome.cause.value
         self._metrics.retries.labels(call.rank.name).inc()
         self._log.emit(
             Event.RETRIED,
             request=call.request_id,
             attempt=call.attempt,
-            after=outcome.cause.value,
+            after=after,
             tried=member.host,
         )
 
 
 def _worse(last: Outcome | None, outcome: Outcome) -> Outcome:
-    """Return the less certain of two outcomes without an answer."""
+    """Return what a caller is told after two attempts.
+
+    An answer goes before none, and the less certain outcome goes before the
+    refusal of another attempt.
+    """
+    if isinstance(outcome, Answered):
+        return outcome
     if last is None or isinstance(last, Refused):
         return outcome
     return last
--- /dev/null
+++ b/src/ragwortstand/callers/proxy.py
@@ -0,0 +1,196 @@
+"""ragwortstand.callers.proxy: routes the requests of callers on this host."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+from uuid import uuid4
+
+import anyio
+
+from ragwortstand.callers.dispatch import Dispatcher
+from ragwortstand.callers.splits import WeightedSplits
+from ragwortstand.calls import Call
+from ragwortstand.events import Event, EventLog
+from ragwortstand.http_server import CallerRequest
+from ragwortstand.ids import RequestId
+from ragwortstand.metrics import Metrics
+from ragwortstand.verdicts import (
+    Answered,
+    Cause,
+    Headers,
+    Outcome,
+    Refused,
+    Unknown,
+    Verdict,
+)
+from ragwortstand.versions import Match, Snapshot
+
+_NO_RANK = 'none'
+# When to come back to a daemon without a configuration: reading one from the
+# store or a peer takes well under this.
+_NO_CONFIGURATION_RETRY_S = 0.5
+# When to come back while this daemon stops: its callers are sent elsewhere
+# after they have missed two readiness checks, a second apart.
+_LEAVING_RETRY_S = 0.3
+
+
+@dataclass(frozen=True, slots=True)
+class Asked:
+    """What a caller's headers ask for.
+
+    :param request_id: the caller's id of the request; empty without one.
+    :param host: host name, in lower case and without a port.
+    :param path: path without the query.
+    :param budget_s: how long the caller waits; None where it does not say.
+    :param headers: headers to pass on, names in lower case.
+    """
+
+    request_id: str
+    host: str
+    path: str
+    budget_s: float | None
+    headers: Headers
+
+
+class CallerDialect(Protocol):
+    """Headers of callers' requests and of the answers to them."""
+
+    def read(self, request: CallerRequest) -> Asked | Refused:
+        """Return what a request asks for, or why it can't be taken."""
+
+    def render(self, outcome: Outcome, request_id: str) -> Answered:
+        """Return the answer that tells a caller an outcome."""
+
+
+class Proxy:
+    """Answers callers by sending their requests to backend servers.
+
+    :param snapshot: returns the configuration in force; None without one.
+    :param dispatcher: sends requests to backend servers.
+    :param dialect: headers of requests and answers.
+    :param splits: draws the parts of split routes.
+    :param metrics: counts requests by rank and verdict.
+    :param log: tells of each outcome.
+    """
+
+    def __init__(
+        self,
+        snapshot: Callable[[], Snapshot | None],
+        dispatcher: Dispatcher,
+        dialect: CallerDialect,
+        splits: WeightedSplits,
+        metrics: Metrics,
+        log: EventLog,
+    ) -> None:
+        """Start open."""
+        self._snapshot = snapshot
+        self._dispatcher = dispatcher
+        self._dialect = dialect
+        self._splits = splits
+        self._metrics = metrics
+        self._log = log
+        self.is_refusing = False
+        self.last_request_at_s = 0.0
+
+    async def answer(self, request: CallerRequest) -> Answered:
+        """Return the answer to a caller's request.
+
+        :param request: the whole request.
+        """
+        self.last_request_at_s = request.arrived_at_s
+        asked = self._dialect.read(request)
+        if isinstance(asked, Refused):
+            self._account(asked, None, '', request.arrived_at_s)
+            return self._dialect.render(asked, '')
+        call = self._admit(request, asked)
+        if isinstance(call, Refused):
+            outcome: Outcome = call
+            self._account(call, None, asked.request_id, request.arrived_at_s)
+        else:
+            outcome = await self._dispatch(call)
+            self._account(outcome, call, asked.request_id, request.arrived_at_s)
+        return self._dialect.render(outcome, asked.request_id)
+
+    def _admit(self, request: CallerRequest, asked: Asked) -> Call | Refused:
+        if self.is_refusing:
+            return Refused(Cause.LEAVING, _LEAVING_RETRY_S)
+        snapshot = self._snapshot()
+        if snapshot is None:
+            return Refused(Cause.NO_CONFIGURATION, _NO_CONFIGURATION_RETRY_S)
+        match = snapshot.match(request.method, asked.path, asked.host)
+        if match is None:
+            return Refused(Cause.NO_ROUTE)
+        return self._call(request, asked, match, snapshot)
+
+    def _call(
+        self,
+        request: CallerRequest,
+        asked: Asked,
+        match: Match,
+        snapshot: Snapshot,
+    ) -> Call:
+        route, rank = match.route, match.rank
+        began_at_s = request.arrived_at_s
+        budget_s = route.deadline_s or rank.deadline_s
+        if asked.budget_s is not None:
+            budget_s = min(budget_s, asked.budget_s)
+        return Call(
+            request_id=RequestId(asked.request_id or uuid4().hex),
+            method=request.method,
+            target=request.target,
+            headers=asked.headers,
+            body=request.body,
+            service=self._splits.draw(match),
+            rank=rank,
+            is_idempotent=route.is_idempotent(request.method),
+            deadline_s=began_at_s + budget_s,
+            version=snapshot.version,
+            goal_s=began_at_s + rank.target_s,
+            max_attempts=route.max_attempts,
+            began_at_s=began_at_s,
+        )
+
+    async def _dispatch(self, call: Call) -> Outcome:
+        self._metrics.offered.labels(call.rank.name).inc()
+        outcome: Outcome = Unknown(Cause.DEADLINE)
+        with anyio.CancelScope(deadline=call.deadline_s + _GRACE_S):
+            outcome = await self._dispatcher.dispatch(call)
+        return outcome
+
+    def _account(
+        self,
+        outcome: Outcome,
+        call: Call | None,
+        request_id: str,
+        began_at_s: float,
+    ) -> None:
+        taken_s = anyio.current_time() - began_at_s
+        rank = call.rank.name if call else _NO_RANK
+        verdict = outcome.verdict.value
+        status, cause = 0, ''
+        if isinstance(outcome, Answered):
+            status = outcome.status
+        else:
+            cause = outcome.cause.value
+        self._metrics.outcomes.labels(rank, verdict, cause).inc()
+        self._metrics.latency_s.labels(rank).observe(taken_s)
+        self._log.emit(
+            _EVENTS[outcome.verdict],
+            request=request_id,
+            rank=rank,
+            service=call.service.name if call else '',
+            version=call.version if call else 0,
+            status=status,
+            cause=cause,
+            attempts=call.attempt if call else 0,
+            taken_s=round(taken_s, 4),
+        )
+
+
+# Time beyond the deadline in which the last outcome may still come in.
+_GRACE_S = 0.1
+_EVENTS = {
+    Verdict.RAN: Event.SERVED,
+    Verdict.NOT_RUN: Event.REFUSED,
+    Verdict.MAY_HAVE_RUN: Event.UNKNOWN,
+}
--- /dev/null
+++ b/src/ragwortstand/callers/splits.py
@@ -0,0 +1,43 @@
+"""ragwortstand.callers.splits: which part of a split route gets a request."""
+
+import random
+
+from ragwortstand.models import Service
+from ragwortstand.versions import Match, Part
+
+
+class WeightedSplits:
+    """Draws the parts of each route in proportion to their weights.
+
+    Smooth weighted round robin keeps each part within one request of its
+    share; a random start keeps daemons from drawing in step.
+
+    :param rng: source of randomness.
+    """
+
+    def __init__(self, rng: random.Random) -> None:
+        """Start without routes."""
+        self._rng = rng
+        self._credits: dict[tuple[Part, ...], list[float]] = {}
+
+    def draw(self, match: Match) -> Service:
+        """Return the service that gets the next request of a route.
+
+        :param match: the route.
+        """
+        parts = match.parts
+        if len(parts) == 1:
+            return parts[0].service
+        credits = self._credits.get(parts)
+        if credits is None:
+            credits = [self._rng.uniform(0, part.weight) for part in parts]
+            self._credits[parts] = credits
+        for position, part in enumerate(parts):
+            credits[position] += part.weight
+        drawn = credits.index(max(credits))
+        credits[drawn] -= sum(part.weight for part in parts)
+        return parts[drawn].service
+
+    def clear(self) -> None:
+        """Forget all routes, as a new configuration is in force."""
+        self._credits.clear()
--- a/src/ragwortstand/calls.py
+++ b/src/ragwortstand/calls.py
@@ -24,6 +24,12 @@
     :param deadline_s: time of giving up, on this process's clock.
     :param version: version of the configuration it was matched with.
     :param key: the caller's idempotency key.
+    :param goal_s: time after which the answer loses most of its use, on this
+        process's clock; None where there is no such time.
+    :param max_attempts: backend servers that it may be sent to; None leaves
+        it to the retry policy.
+    :param sends: backend servers that it was sent to.
+    :param began_at_s: when its caller's request was read.
     :param attempt: 1 for the first attempt.
     :param is_dispatched: whether the first byte may have reached a backend
         server.
@@ -41,6 +47,10 @@
     deadline_s: float
     version: Version
     key: IdempotencyKey | None = None
+    goal_s: float | None = None
+    max_attempts: int | None = None
+    sends: int = 0
+    began_at_s: float = 0.0
     attempt: int = 1
     is_dispatched: bool = False
     is_suspect: bool = False
--- a/src/ragwortstand/daemon.py
+++ b/src/ragwortstand/daemon.py
@@ -2,12 +2,16 @@
 
 import random
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
+from types import MappingProxyType
 
 import anyio
 from anyio.abc import TaskGroup
 
 from ragwortstand.backend_servers import BackendServer, BackendState
+from ragwortstand.backend_servers.clients import HttptoolsConnection
+from ragwortstand.backend_servers.connections import Connect
+from ragwortstand.backend_servers.httpcore_client import HttpcoreConnection
 from ragwortstand.callers import Dispatcher, Front, OnceRunner, OverloadGuard
 from ragwortstand.events import Event, EventLog
 from ragwortstand.ids import (
@@ -22,7 +26,11 @@
 from ragwortstand.operators.admin import Admin
 from ragwortstand.operators.fleet_report import FleetReport
 from ragwortstand.peers.choice import choice_for
-from ragwortstand.peers.distribution import Distributor
+from ragwortstand.peers.distribution import (
+    DistributionPolicy,
+    Distributor,
+    Polling,
+)
 from ragwortstand.peers.forwarding import ForwardedWork, Forwarder
 from ragwortstand.peers.gossip import Gossip
 from ragwortstand.peers.handlers import PeerHandlers
@@ -41,16 +49,23 @@
 from ragwortstand.peers.retries import retries_for
 from ragwortstand.peers.scopes import LinkScopes
 from ragwortstand.peers.store_watch import StoreWatch
-from ragwortstand.servers import HttpServer, bind, http_server, port_of
+from ragwortstand.servers import HttpServer, http_server
 from ragwortstand.settings import DaemonSettings
+from ragwortstand.sockets import bind, port_of
 from ragwortstand.storage import (
     Acceptance,
     ClaimTable,
     EntryPoints,
-    PlatformClient,
 )
+from ragwortstand.storage.client import PlatformClient
 from ragwortstand.versions import Snapshot, VersionGate
 
+_CONNECTS: Mapping[str, Connect] = MappingProxyType(
+    {
+        'httptools': HttptoolsConnection.connect,
+        'httpcore': HttpcoreConnection.connect,
+    },
+)
 _WATCH_LINKS_S = 0.5
 _EXPIRE_S = 0.5
 _MARK_TIMEOUT_S = 0.5
@@ -90,6 +105,7 @@
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
             self._forwarder.start(tasks)
+            self._forwarded.start(tasks)
             servers = self._start(tasks)
             self._announce_listening()
             await self._stopping.wait()
@@ -168,10 +184,17 @@
         self._acceptance = Acceptance(self._platform, self._platform)
         self._distributor = Distributor(
             self._gate,
-            self._acceptance,
+            Polling(
+                self._acceptance,
+                settings.platform.poll_interval_s,
+                self._rng,
+            ),
             self._members,
             self._links,
-            settings,
+            DistributionPolicy(
+                is_pushing=settings.policies.distribution == 'push',
+                store_region=settings.platform.region,
+            ),
             self._metrics,
             self._log,
             self._rng,
@@ -214,7 +237,11 @@
 
     def _build_calls(self) -> None:
         settings = self._settings
-        self._backend_server = BackendServer(settings, self._log)
+        self._backend_server = BackendServer(
+            settings,
+            self._log,
+            connect=_CONNECTS[settings.backend_server.client],
+        )
         self._backend_server.on_change = self._on_backend_server
         self._backend_server.crashes.on_crash = self._on_crash
         self._backend_server.crashes.on_clear = self._on_clear
--- a/src/ragwortstand/events.py
+++ b/src/ragwortstand/events.py
@@ -19,6 +19,7 @@
     SUBMISSION_REFUSED = 'ragwort:submission-refused'
     APPLIED = 'ragwort:applied'
     VERSION_REFUSED = 'ragwort:version-refused'
+    SERVED = 'ragwort:served'
     REFUSED = 'ragwort:refused'
     UNKNOWN = 'ragwort:may-have-run'
     RETRIED = 'ragwort:retried'
@@ -32,6 +33,11 @@
     PLATFORM_OUTAGE = 'ragwort:platform-outage'
     PLATFORM_BACK = 'ragwort:platform-back'
     ROLE = 'ragwort:role'
+    ANNOUNCEMENT_REFUSED = 'ragwort:announcement-refused'
+    ROW_REFUSED = 'ragwort:row-refused'
+    RELOADED = 'ragwort:reloaded'
+    RELOAD_REFUSED = 'ragwort:reload-refused'
+    STOPPING = 'ragwort:stopping'
     TASK_FAILED = 'ragwort:task-failed'
 
 
--- /dev/null
+++ b/src/ragwortstand/http_server.py
@@ -0,0 +1,357 @@
+"""ragwortstand.http_server: HTTP/1.1 server with parallel pipelining.
+
+Pipelined requests run side by side and are answered in their order. Requests
+and answers are held whole, so an answer is sent whole or not at all.
+"""
+
+import asyncio
+import socket
+from collections import deque
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from http import HTTPStatus
+from typing import TypeAlias, cast
+
+import anyio
+import httptools
+from anyio.abc import TaskGroup
+
+from ragwortstand.events import Event, EventLog
+from ragwortstand.models import CallerLimits
+from ragwortstand.verdicts import Answered, Header, Headers
+
+#: Connections that may wait to be accepted; a fleet's clients return at once.
+BACKLOG = 1024
+# Requests of one connection that run side by side, and how many may be left
+# before more are read.
+_MAX_PIPELINED = 32
+_RESUME_PIPELINED = 16
+# How often header and idle timeouts are checked; well below either limit.
+_SWEEP_S = 0.5
+# Statuses whose answers have no body (RFC 9110, section 6.4.1).
+_WITHOUT_BODY = frozenset((204, 304))
+
+
+@dataclass(frozen=True, slots=True)
+class CallerRequest:
+    """A whole request of a caller.
+
+    :param method: HTTP method in upper case.
+    :param target: path and query as sent.
+    :param headers: all headers, names in lower case.
+    :param body: the whole body.
+    :param arrived_at_s: when its last byte was read.
+    """
+
+    method: str
+    target: str
+    headers: Headers
+    body: bytes
+    arrived_at_s: float
+
+
+Answer: TypeAlias = Callable[[CallerRequest], Awaitable[Answered]]
+
+
+@dataclass(slots=True, eq=False)
+class _Exchange:
+    request: CallerRequest
+    keeps_alive: bool
+    answered: Answered | None = None
+    scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
+
+
+@dataclass(slots=True)
+class _Incoming:
+    """The parts of a request that is being read."""
+
+    since_s: float
+    url: bytes = b''
+    headers: list[Header] = field(default_factory=list)
+    body: list[bytes] = field(default_factory=list)
+    header_bytes: int = 0
+    body_bytes: int = 0
+    has_headers: bool = False
+
+
+class HttpServer:
+    """Serves one address; `answer` is called once for each request.
+
+    Usage::
+
+        >>> server = HttpServer(answer, limits, log)
+        >>> await server.serve(listener, tasks)
+
+    :param answer: returns the whole answer to a request.
+    :param limits: returns the bounds on requests that are in force.
+    :param log: tells of failures of `answer`.
+    """
+
+    def __init__(
+        self,
+        answer: Answer,
+        limits: Callable[[], CallerLimits],
+        log: EventLog,
+    ) -> None:
+        """Start without connections."""
+        self.answer = answer
+        self.limits = limits
+        self.log = log
+        self.is_closing = False
+        self.tasks: TaskGroup | None = None
+        self.connections: set[CallerConnection] = set()
+
+    @property
+    def in_flight(self) -> int:
+        """Return how many requests are being answered."""
+        return sum(len(one.exchanges) for one in self.connections)
+
+    async def serve(self, listener: socket.socket, tasks: TaskGroup) -> None:
+        """Accept connections until cancelled.
+
+        :param listener: a bound socket.
+        :param tasks: where requests are answered.
+        """
+        self.tasks = tasks
+        loop = asyncio.get_running_loop()
+        server = await loop.create_server(
+            lambda: CallerConnection(self), sock=listener, backlog=BACKLOG
+        )
+        try:
+            while True:
+                await anyio.sleep(_SWEEP_S)
+                self._sweep(anyio.current_time())
+        finally:
+            server.close()
+
+    def close_idle(self) -> None:
+        """End kept connections: idle ones now, others with their answers."""
+        self.is_closing = True
+        for connection in tuple(self.connections):
+            connection.close_if_idle()
+
+    def _sweep(self, now_s: float) -> None:
+        limits = self.limits()
+        for connection in tuple(self.connections):
+            connection.expire(limits, now_s)
+
+
+class CallerConnection(asyncio.Protocol):
+    """One connection of a caller.
+
+    :param server: the server that accepted it.
+    """
+
+    def __init__(self, server: HttpServer) -> None:
+        """Start without requests."""
+        self._server = server
+        self._parser = httptools.HttpRequestParser(self)
+        self._transport: asyncio.Transport | None = None
+        self._incoming: _Incoming | None = None
+        self._idle_since_s = anyio.current_time()
+        self._is_refused = False
+        self.exchanges: deque[_Exchange] = deque()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the open transport."""
+        self._transport = cast(asyncio.Transport, transport)
+        self._server.connections.add(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Cancel what the caller no longer waits for."""
+        self._transport = None
+        self._server.connections.discard(self)
+        self._cancel_all()
+
+    def data_received(self, data: bytes) -> None:
+        """Feed the parser."""
+        if self._is_refused:
+            return
+        incoming = self._incoming
+        if incoming and not incoming.has_headers:
+            incoming.header_bytes += len(data)
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._refuse(HTTPStatus.NOT_IMPLEMENTED)
+        except httptools.HttpParserError:
+            self._refuse(HTTPStatus.BAD_REQUEST)
+        self._check_header_size()
+
+    def on_message_begin(self) -> None:
+        """Start to collect a request."""
+        self._incoming = _Incoming(anyio.current_time())
+
+    def on_url(self, url: bytes) -> None:
+        """Collect a part of the target."""
+        if self._incoming:
+            self._incoming.url += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collect a header."""
+        incoming = self._incoming
+        if incoming:
+            incoming.headers.append((name.lower(), value))
+            incoming.header_bytes += len(name) + len(value)
+
+    def on_headers_complete(self) -> None:
+        """Check what the headers announce."""
+        incoming = self._incoming
+        if incoming is None:
+            return
+        incoming.has_headers = True
+        headers = dict(incoming.headers)
+        announced = headers.get(b'content-length', b'0')
+        limits = self._server.limits()
+        if incoming.header_bytes > limits.max_header_bytes:
+            self._refuse(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
+        elif announced.isdigit() and int(announced) > limits.max_body_bytes:
+            self._refuse(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+        elif headers.get(b'expect', b'').lower() == b'100-continue':
+            self._write(b'HTTP/1.1 100 Continue\r\n\r\n')
+
+    def on_body(self, body: bytes) -> None:
+        """Collect a part of the body."""
+        incoming = self._incoming
+        if incoming is None or self._is_refused:
+            return
+        incoming.body_bytes += len(body)
+        if incoming.body_bytes > self._server.limits().max_body_bytes:
+            self._refuse(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+            return
+        incoming.body.append(body)
+
+    def on_message_complete(self) -> None:
+        """Start to answer the request."""
+        incoming = self._incoming
+        self._incoming = None
+        tasks = self._server.tasks
+        if incoming is None or self._is_refused or tasks is None:
+            return
+        request = CallerRequest(
+            self._parser.get_method().decode('ascii'),
+            incoming.url.decode('latin-1'),
+            tuple(incoming.headers),
+            b''.join(incoming.body),
+            anyio.current_time(),
+        )
+        exchange = _Exchange(request, self._parser.should_keep_alive())
+        self.exchanges.append(exchange)
+        if len(self.exchanges) >= _MAX_PIPELINED and self._transport:
+            self._transport.pause_reading()
+        tasks.start_soon(self._run, exchange)
+
+    def close_if_idle(self) -> None:
+        """Close the connection unless a request is under way."""
+        if self._transport and not self.exchanges and self._incoming is None:
+            self._transport.close()
+
+    def expire(self, limits: CallerLimits, now_s: float) -> None:
+        """Close the connection when its caller takes too long.
+
+        :param limits: the bounds in force.
+        :param now_s: present time.
+        """
+        incoming = self._incoming
+        if incoming and not incoming.has_headers:
+            if now_s - incoming.since_s > limits.header_timeout_s:
+                self._refuse(HTTPStatus.REQUEST_TIMEOUT)
+        elif now_s - self._idle_since_s > limits.idle_timeout_s:
+            self.close_if_idle()
+
+    async def _run(self, exchange: _Exchange) -> None:
+        with exchange.scope:
+            try:
+                exchange.answered = await self._server.answer(exchange.request)
+            except Exception as error:
+                self._server.log.emit(
+                    Event.TASK_FAILED,
+                    task='answer',
+                    problem=repr(error),
+                )
+                exchange.answered = Answered(500, (), b'')
+        self._send_ready()
+
+    def _send_ready(self) -> None:
+        """Send the answers that are next in the order of the requests."""
+        while self.exchanges and self.exchanges[0].answered:
+            exchange = self.exchanges.popleft()
+            self._send(exchange)
+        self._idle_since_s = anyio.current_time()
+        if self._transport and len(self.exchanges) < _RESUME_PIPELINED:
+            self._transport.resume_reading()
+
+    def _send(self, exchange: _Exchange) -> None:
+        """Send one answer.
+
+        While the server closes, the last answer under way ends the
+        connection; one before it would discard the requests behind it.
+        """
+        is_last = not exchange.keeps_alive
+        if self._server.is_closing and not self.exchanges:
+            is_last = is_last or self._incoming is None
+        if exchange.answered is not None:
+            is_head = exchange.request.method == 'HEAD'
+            self._write(encode_answer(exchange.answered, is_last, is_head))
+        if is_last:
+            self._end()
+
+    def _refuse(self, status: HTTPStatus) -> None:
+        """Answer a request that can't be read, after those before it."""
+        if self._is_refused:
+            return
+        self._is_refused = True
+        self._incoming = None
+        request = CallerRequest('', '', (), b'', anyio.current_time())
+        exchange = _Exchange(request, keeps_alive=False)
+        exchange.answered = Answered(status, (), b'')
+        self.exchanges.append(exchange)
+        self._send_ready()
+
+    def _check_header_size(self) -> None:
+        incoming = self._incoming
+        if incoming is None or incoming.has_headers:
+            return
+        if incoming.header_bytes > self._server.limits().max_header_bytes:
+            self._refuse(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
+
+    def _write(self, wire: bytes) -> None:
+        if self._transport and not self._transport.is_closing():
+            self._transport.write(wire)
+
+    def _end(self) -> None:
+        if self._transport:
+            self._transport.close()
+        self._cancel_all()
+
+    def _cancel_all(self) -> None:
+        for exchange in self.exchanges:
+            exchange.scope.cancel()
+        self.exchanges.clear()
+
+
+def encode_answer(answered: Answered, is_last: bool, is_head: bool) -> bytes:
+    """Return an answer as it goes over the connection.
+
+    :param answered: the answer.
+    :param is_last: whether the connection ends with it.
+    :param is_head: whether it answers a HEAD request.
+    """
+    lines = [b'HTTP/1.1 %d %b\r\n' % (answered.status, _phrase(answered))]
+    lines.extend(b'%b: %b\r\n' % pair for pair in answered.headers)
+    has_body = answered.status not in _WITHOUT_BODY
+    if has_body:
+        lines.append(b'content-length: %d\r\n' % len(answered.body))
+    if is_last:
+        lines.append(b'connection: close\r\n')
+    lines.append(b'\r\n')
+    if has_body and not is_head:
+        lines.append(answered.body)
+    return b''.join(lines)
+
+
+def _phrase(answered: Answered) -> bytes:
+    try:
+        return HTTPStatus(answered.status).phrase.encode()
+    except ValueError:
+        return b'Status'
--- a/src/ragwortstand/models.py
+++ b/src/ragwortstand/models.py
@@ -4,7 +4,7 @@
 import json
 import sys
 from collections.abc import Iterator
-from typing import Annotated, TextIO
+from typing import Annotated, Literal, TextIO
 
 from pydantic import Field
 
@@ -50,31 +50,78 @@
     :param retry_share: retries allowed as a share of successful calls.
     :param cold_start_s: time over which a fresh backend server's slots rise
         from a fifth to all, in seconds.
+    :param max_connections: connections that each backend server accepts;
+        None leaves it to what the backend server announces.
     """
 
     name: _Name
     retry_share: _Share = 0.1
     cold_start_s: Annotated[float, Field(ge=0, le=600)] = 0.0
+    max_connections: Annotated[int, Field(ge=1)] | None = None
+
+
+class WeightedService(StrictModel):
+    """One part of a route that is split between services.
+
+    :param service: name of the service.
+    :param weight: its part of the requests, relative to the other parts.
+    """
+
+    service: _Name
+    weight: Annotated[float, Field(gt=0, le=1_000_000)]
+
+
+class CallerLimits(StrictModel):
+    """Bounds on what callers may send and how long they may take.
+
+    :param max_header_bytes: size of the request line and the headers.
+    :param max_body_bytes: size of a request's body.
+    :param header_timeout_s: time from the first byte of a request to the end
+        of its headers.
+    :param idle_timeout_s: how long an idle connection is kept.
+    """
+
+    max_header_bytes: Annotated[int, Field(ge=256, le=1 << 20)] = 16_384
+    max_body_bytes: Annotated[int, Field(ge=0, le=1 << 30)] = 1 << 26
+    header_timeout_s: Annotated[float, Field(gt=0, le=600)] = 3.0
+    idle_timeout_s: Annotated[float, Field(gt=0, le=3600)] = 15.0
 
 
 class Route(StrictModel):
     """A rule that sends a part of the paths to a service.
 
     :param path: path prefix, matched by whole segments.
-    :param service: name of the service.
+    :param service: name of the service; empty where `backends` is given.
     :param rank: name of the rank.
     :param methods: HTTP methods in upper case; empty means all.
     :param idempotent: whether a request may run twice without harm; None
         takes the meaning of the HTTP method.
     :param deadline_s: time to answer; None takes the rank's.
+    :param host: host name that callers must ask for; empty means any.
+    :param backends: services that share the requests by weight.
+    :param max_attempts: backend servers that one request may be sent to;
+        None leaves it to the retry policy.
+    :param below_only: whether the path itself, without anything below its
+        last slash, is left out.
     """
 
     path: Annotated[str, Field(pattern=r'^/[^?#\s]*$', max_length=512)]
-    service: _Name
+    service: _Name | Literal[''] = ''
     rank: _Name
     methods: tuple[Annotated[str, Field(pattern='^[A-Z]+$')], ...] = ()
     idempotent: bool | None = None
     deadline_s: _Deadline | None = None
+    host: Annotated[str, Field(pattern=r'^[a-z0-9.-]*$', max_length=253)] = ''
+    backends: tuple[WeightedService, ...] = ()
+    max_attempts: Annotated[int, Field(ge=1, le=100)] | None = None
+    below_only: bool = False
+
+    @property
+    def parts(self) -> tuple[WeightedService, ...]:
+        """Return the services with their weights, also for a single one."""
+        if self.backends:
+            return self.backends
+        return (WeightedService(service=self.service, weight=1),)
 
     def is_idempotent(self, method: str) -> bool:
         """Return whether a request may be repeated after it may have run.
@@ -103,11 +150,13 @@
     :param ranks: from the most to the least urgent.
     :param services: the services that routes may name.
     :param routes: the longest matching path wins.
+    :param limits: bounds on what callers may send.
     """
 
     ranks: tuple[Rank, ...]
     services: tuple[Service, ...]
     routes: tuple[Route, ...] = ()
+    limits: CallerLimits = CallerLimits()
 
     def to_json(self) -> str:
         """Return the canonical JSON text: sorted keys, no white space."""
@@ -173,16 +222,35 @@
     ranks: frozenset[str],
     services: frozenset[str],
 ) -> Iterator[Fault]:
-    seen: set[tuple[str, str]] = set()
+    seen: set[tuple[str, str, str]] = set()
     for position, route in enumerate(mesh.routes):
         path = f'$.routes[{position}]'
-        if route.service not in services:
-            problem = f'no service is named {route.service!r}'
-            yield Fault(f'{path}.service', problem)
+        yield from _service_faults(route, path, services)
         if route.rank not in ranks:
             yield Fault(f'{path}.rank', f'no rank is named {route.rank!r}')
         for method in route.methods or ('*',):
-            if (route.path, method) in seen:
-                problem = f'{method} {route.path} is routed twice'
+            if (route.host, route.path, method) in seen:
+                problem = f'{method} {route.host}{route.path} is routed twice'
                 yield Fault(f'{path}.path', problem)
-            seen.add((route.path, method))
+            seen.add((route.host, route.path, method))
+
+
+def _service_faults(
+    route: Route,
+    path: str,
+    services: frozenset[str],
+) -> Iterator[Fault]:
+    if bool(route.service) == bool(route.backends):
+        problem = 'needs a service or backends, and not both'
+        yield Fault(f'{path}.service', problem)
+        return
+    if route.service:
+        names = {f'{path}.service': route.service}
+    else:
+        names = {
+            f'{path}.backends[{position}].service': part.service
+            for position, part in enumerate(route.backends)
+        }
+    for place, name in names.items():
+        if name not in services:
+            yield Fault(place, f'no service is named {name!r}')
--- a/src/ragwortstand/peers/distribution.py
+++ b/src/ragwortstand/peers/distribution.py
@@ -9,6 +9,8 @@
 
 import contextlib
 import random
+from dataclasses import dataclass
+from typing import Protocol
 
 import anyio
 import zstandard
@@ -16,10 +18,9 @@
 
 from ragwortstand.events import Event, EventLog
 from ragwortstand.exceptions import PeerError, PlatformError
-from ragwortstand.ids import NO_VERSION, PeerAddress, Version
+from ragwortstand.ids import NO_VERSION, Digest, PeerAddress, Version
 from ragwortstand.metrics import Metrics
 from ragwortstand.models import MAX_CONFIGURATION_BYTES
-from ragwortstand.peers.links import Links
 from ragwortstand.peers.members import Members
 from ragwortstand.peers.messages import (
     Applied,
@@ -31,13 +32,12 @@
     OfferVersion,
     VersionContent,
 )
-from ragwortstand.settings import DaemonSettings
+from ragwortstand.peers.protocols import PeerLinks
 from ragwortstand.storage import Acceptance, VersionRecord
 from ragwortstand.versions import Offer, Snapshot, VersionGate
 
 _FANOUT = 4
 _READERS = 2
-_SECOND_READER_DELAY_S = 1.0
 _ASKED_AT_START = 16
 _PEER_TIMEOUT_S = 2.0
 _RETRY_S = 0.5
@@ -46,14 +46,97 @@
 _JOIN_POLL_S = 0.05
 
 
+class VersionSource(Protocol):
+    """Where accepted versions are read."""
+
+    async def head(self) -> VersionRecord | None:
+        """Return the newest accepted version, None where there is none.
+
+        :raises PlatformError: when the store does not answer.
+        """
+
+    async def content(self, digest: Digest) -> bytes | None:
+        """Return the content of a version, None where it is not held.
+
+        :raises PlatformError: when the store does not answer.
+        """
+
+    def is_held(self, digest: Digest) -> bool:
+        """Return whether `content` needs no call to the store."""
+
+    async def wait(self, is_reader: bool) -> None:
+        """Wait until the newest version is worth another look.
+
+        :param is_reader: whether this daemon reads the store for others.
+        """
+
+
+class Polling:
+    """Versions that are read at intervals.
+
+    :param acceptance: reads accepted versions from the platform.
+    :param interval_s: time between two reads.
+    :param rng: source of randomness.
+    """
+
+    def __init__(
+        self,
+        acceptance: Acceptance,
+        interval_s: float,
+        rng: random.Random,
+    ) -> None:
+        """Keep the collaborators."""
+        self._acceptance = acceptance
+        self._interval_s = interval_s
+        self._rng = rng
+
+    async def head(self) -> VersionRecord | None:
+        """Return the newest accepted version, None where there is none."""
+        return await self._acceptance.head()
+
+    async def content(self, digest: Digest) -> bytes | None:
+        """Return the content of a version, None where it is not held."""
+        return await self._acceptance.content(digest)
+
+    def is_held(self, digest: Digest) -> bool:
+        """Return False, as nothing is kept."""
+        return False
+
+    async def wait(self, is_reader: bool) -> None:
+        """Wait for one interval."""
+        await anyio.sleep(self._interval_s * self._rng.uniform(0.9, 1.1))
+
+
+@dataclass(frozen=True, slots=True)
+class DistributionPolicy:
+    """How versions travel.
+
+    :param is_pushing: whether a daemon tells others of a version it applied;
+        otherwise each reads the whole configuration itself.
+    :param fanout: members of the region that a daemon tells.
+    :param is_flat: whether members of all regions are told alike, without
+        bridges; for small fleets.
+    :param standby_delay_s: how long the second reader leaves a new version to
+        the first.
+    :param store_region: region of the store; None where readers are chosen by
+        how well they reach it.
+    """
+
+    is_pushing: bool = True
+    fanout: int = _FANOUT
+    is_flat: bool = False
+    standby_delay_s: float = 1.0
+    store_region: str | None = None
+
+
 class Distributor:
     """Fetches, applies and passes on versions of the configuration.
 
     :param gate: holds the version in force.
-    :param acceptance: reads accepted versions from the platform.
+    :param source: reads accepted versions from the platform.
     :param members: the list of members.
     :param links: links to the other daemons.
-    :param settings: where the store is, and how versions are to travel.
+    :param policy: how versions travel.
     :param metrics: counts refused versions.
     :param log: tells of applied and refused versions.
     :param rng: source of randomness.
@@ -62,22 +145,21 @@
     def __init__(
         self,
         gate: VersionGate,
-        acceptance: Acceptance,
+        source: VersionSource,
         members: Members,
-        links: Links,
-        settings: DaemonSettings,
+        links: PeerLinks,
+        policy: DistributionPolicy,
         metrics: Metrics,
         log: EventLog,
         rng: random.Random,
     ) -> None:
         """Keep the collaborators."""
         self._gate = gate
-        self._acceptance = acceptance
+        self._source = source
         self._members = members
         self._links = links
-        self._platform = settings.platform
-        self._is_pushing = settings.policies.distribution == 'push'
-        self._step = self._poll if self._is_pushing else self._poll_whole
+        self._policy = policy
+        self._step = self._poll if policy.is_pushing else self._poll_whole
         self._metrics = metrics
         self._log = log
         self._rng = rng
@@ -97,8 +179,8 @@
             self._tasks = tasks
             await self._settle()
             while True:
-                jitter = self._rng.uniform(0.9, 1.1)
-                await anyio.sleep(self._platform.poll_interval_s * jitter)
+                is_reader = self._reader_position() is not None
+                await self._source.wait(is_reader)
                 await self._step()
 
     def heard(self, version: Version, address: PeerAddress) -> None:
@@ -109,7 +191,7 @@
         """
         if version <= self._gate.version or self._is_fetching:
             return
-        if self._tasks and self._is_pushing:
+        if self._tasks and self._policy.is_pushing:
             self._is_fetching = True
             self._tasks.start_soon(self._fetch_in_turn, version, address)
 
@@ -167,7 +249,7 @@
 
     async def _settle_once(self) -> bool:
         try:
-            head = await self._acceptance.head()
+            head = await self._source.head()
         except PlatformError:
             return await self._settle_by_peers()
         if head is None or head.version <= self._gate.version:
@@ -196,7 +278,12 @@
         return 0 < held[address] <= self._gate.version
 
     async def _fetch_from_any(self, record: VersionRecord) -> bool:
-        """Fetch a version from a peer of the region, else from the store."""
+        """Fetch a version from a peer of the region, else from the store.
+
+        A source that holds the content already is asked first.
+        """
+        if self._source.is_held(record.digest):
+            return await self._fetch_from_store(record)
         near = [
             peer
             for peer in self._members.peers()
@@ -210,7 +297,7 @@
     async def _poll_whole(self) -> None:
         """Read the head row and the whole content; the baseline."""
         with contextlib.suppress(PlatformError):
-            head = await self._acceptance.head()
+            head = await self._source.head()
             if head:
                 await self._fetch_from_store(head)
 
@@ -220,11 +307,11 @@
         if position is None:
             return
         try:
-            head = await self._acceptance.head()
+            head = await self._source.head()
             if head is None or head.version <= self._gate.version:
                 return
             if position:
-                await anyio.sleep(_SECOND_READER_DELAY_S)
+                await anyio.sleep(self._policy.standby_delay_s)
             if head.version > self._gate.version:
                 await self._fetch_from_store(head)
         except PlatformError:
@@ -232,21 +319,23 @@
 
     def _reader_position(self) -> int | None:
         own = self._members.own
-        region = own.region
-        if region != self._platform.region and self._sees_store_region():
+        store_region = self._policy.store_region
+        if store_region is None:
+            readers = self._members.best_readers(_READERS)
+        elif own.region != store_region and self._sees(store_region):
             return None
-        readers = self._members.leaders('reader', _READERS, region=region)
+        else:
+            readers = self._members.leaders(
+                'reader', _READERS, region=own.region
+            )
         return readers.index(own) if own in readers else None
 
-    def _sees_store_region(self) -> bool:
-        return any(
-            peer.region == self._platform.region
-            for peer in self._members.peers()
-        )
+    def _sees(self, region: str) -> bool:
+        return any(peer.region == region for peer in self._members.peers())
 
     async def _fetch_from_store(self, record: VersionRecord) -> bool:
         try:
-            content = await self._acceptance.content(record.digest)
+            content = await self._source.content(record.digest)
         except PlatformError:
             return False
         if content is None:
@@ -294,7 +383,7 @@
         self._log.emit(
             Event.APPLIED, version=snapshot.version, digest=snapshot.digest
         )
-        if self._tasks is None or not self._is_pushing:
+        if self._tasks is None or not self._policy.is_pushing:
             return
         for peer in self._push_targets():
             self._tasks.start_soon(self._offer, snapshot.version, peer)
@@ -302,8 +391,12 @@
     def _push_targets(self) -> list[Member]:
         own = self._members.own
         peers = self._members.peers()
+        if self._policy.is_flat:
+            fanout = min(self._policy.fanout, len(peers))
+            return self._rng.sample(peers, fanout)
         near = [peer for peer in peers if peer.region == own.region]
-        chosen = self._rng.sample(near, min(_FANOUT, len(near)))
+        fanout = min(self._policy.fanout, len(near))
+        chosen = self._rng.sample(near, fanout)
         if own in self._members.leaders('bridge', 2, region=own.region):
             regions = {peer.region for peer in peers} - {own.region}
             for region in sorted(regions):
--- /dev/null
+++ b/src/ragwortstand/peers/enrolment.py
@@ -0,0 +1,176 @@
+"""ragwortstand.peers.enrolment: how daemons meet through the platform's table.
+
+Each daemon writes one row when it starts, reads a bounded number of rows and
+joins a few daemons that it does not know; gossip does the rest. Later on a
+few keepers, chosen by rendezvous hashing, read the rows now and then: they
+restore the rows of members that the table has lost, and join daemons that the
+fleet has never met.
+"""
+
+import random
+import time
+
+import anyio
+import msgspec
+
+from ragwortstand.events import Event, EventLog
+from ragwortstand.exceptions import PlatformError
+from ragwortstand.ids import HostId, PeerAddress
+from ragwortstand.peers.gossip import Gossip
+from ragwortstand.peers.members import Members
+from ragwortstand.storage import EntryPoint
+from ragwortstand.storage.table import TableService, Transaction, Write
+
+_PREFIX = 'member/'
+# Rows of one read: enough to find live daemons among rows of departed ones.
+_MAX_ROWS = 100
+# Unknown daemons that are joined after one read.
+_MAX_JOINS = 4
+# Time for the others of a fleet that starts together to write their rows.
+_GATHER_S = 0.4
+_RETRY_S = 0.5
+# Between two reads of a daemon that knows no other, and of a keeper.
+_ALONE_S = 1.0
+_KEEPER_S = 12.0
+_KEEPERS = 2
+
+
+class Enrolment:
+    """Joins the other daemons and keeps the rows through which they meet.
+
+    :param members: the list of members.
+    :param gossip: asks daemons for the list of members.
+    :param table: the platform's table service.
+    :param cluster: name of the cluster.
+    :param seeds: addresses to join through without the table.
+    :param log: tells when the table does not answer.
+    :param rng: source of randomness.
+    """
+
+    def __init__(
+        self,
+        members: Members,
+        gossip: Gossip,
+        table: TableService,
+        cluster: str,
+        seeds: tuple[PeerAddress, ...],
+        log: EventLog,
+        rng: random.Random,
+    ) -> None:
+        """Keep the collaborators."""
+        self._members = members
+        self._gossip = gossip
+        self._table = table
+        self._cluster = cluster
+        self._seeds = seeds
+        self._log = log
+        self._rng = rng
+        self._is_written = False
+        self._is_met = False
+
+    async def run(self) -> None:
+        """Write the own row, join the others, and keep the rows."""
+        async with anyio.create_task_group() as joins:
+            for seed in self._seeds:
+                joins.start_soon(self._gossip.join, seed)
+            joins.start_soon(self._write_own)
+            await anyio.sleep(_GATHER_S)
+            while True:
+                await self._look()
+                await anyio.sleep(self._interval_s())
+
+    def _interval_s(self) -> float:
+        base_s = _KEEPER_S if self._members.peers() else _ALONE_S
+        return base_s * self._rng.uniform(0.75, 1.25)
+
+    async def _write_own(self) -> None:
+        while not self._is_written:
+            try:
+                await self._write([self._members.own.host])
+                self._is_written = True
+            except PlatformError as error:
+                self._log.emit(
+                    Event.PLATFORM_OUTAGE,
+                    step='write own row',
+                    problem=str(error),
+                )
+                await anyio.sleep(_RETRY_S * self._rng.uniform(0.5, 1.5))
+
+    async def _look(self) -> None:
+        """Read rows, where this daemon is new, alone or a keeper."""
+        own = self._members.own
+        keepers = self._members.leaders('keeper', _KEEPERS)
+        if self._members.peers() and self._is_met and own not in keepers:
+            return
+        try:
+            rows = await self._read()
+        except PlatformError as error:
+            self._log.emit(
+                Event.PLATFORM_OUTAGE, step='read rows', problem=str(error)
+            )
+            return
+        await self._join_unknown(rows)
+        self._is_met = True
+        missing = self._missing(rows)
+        if missing and self._is_written and own in keepers:
+            await self._restore(missing)
+
+    async def _read(self) -> tuple[EntryPoint, ...]:
+        prefix = f'{_PREFIX}{self._cluster}/'
+        rows = await self._table.scan(prefix, _MAX_ROWS)
+        found = []
+        for row in rows:
+            try:
+                found.append(msgspec.json.decode(row.content, type=EntryPoint))
+            except msgspec.DecodeError as error:
+                self._log.emit(
+                    Event.ROW_REFUSED, key=row.key, problem=str(error)
+                )
+        return tuple(found)
+
+    async def _join_unknown(self, rows: tuple[EntryPoint, ...]) -> None:
+        unknown = [row for row in rows if self._is_unknown(row)]
+        self._rng.shuffle(unknown)
+        async with anyio.create_task_group() as joins:
+            for row in unknown[:_MAX_JOINS]:
+                joins.start_soon(self._gossip.join, row.peer_address)
+
+    def _is_unknown(self, row: EntryPoint) -> bool:
+        if row.host == self._members.own.host:
+            return False
+        member = self._members.get(row.host)
+        return member is None or member.peer_address != row.peer_address
+
+    def _missing(self, rows: tuple[EntryPoint, ...]) -> list[HostId]:
+        """Return members without a row, unless there are rows left to read."""
+        if len(rows) >= _MAX_ROWS:
+            return []
+        known = {row.host for row in rows}
+        return [
+            member.host
+            for member in self._members.usable()
+            if member.host not in known
+        ]
+
+    async def _restore(self, hosts: list[HostId]) -> None:
+        try:
+            await self._write(hosts)
+        except PlatformError as error:
+            self._log.emit(
+                Event.PLATFORM_OUTAGE, step='restore rows', problem=str(error)
+            )
+
+    async def _write(self, hosts: list[HostId]) -> None:
+        writes = tuple(self._row(host) for host in hosts[:_MAX_ROWS])
+        await self._table.transact(Transaction((), writes))
+
+    def _row(self, host: HostId) -> Write:
+        member = self._members.get(host) or self._members.own
+        entry_point = EntryPoint(
+            cluster=self._cluster,
+            host=member.host,
+            peer_address=member.peer_address,
+            written_unix_s=time.time(),
+        )
+        text = msgspec.json.encode(entry_point).decode()
+        return Write(f'{_PREFIX}{self._cluster}/{host}', text)
--- a/src/ragwortstand/peers/forwarding.py
+++ b/src/ragwortstand/peers/forwarding.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Protocol
 
 import anyio
@@ -11,10 +11,10 @@
 
 from ragwortstand.backend_servers import Load
 from ragwortstand.calls import Call
+from ragwortstand.events import Event, EventLog, NullLog
 from ragwortstand.exceptions import PeerError
 from ragwortstand.ids import IdempotencyKey, RequestId, Version
 from ragwortstand.models import Rank, Service
-from ragwortstand.peers.links import Links
 from ragwortstand.peers.messages import (
     CancelWork,
     CrashSuspects,
@@ -26,11 +26,21 @@
     outcome_of,
     work_done,
 )
+from ragwortstand.peers.protocols import PeerLinks
 from ragwortstand.verdicts import Cause, Outcome, Refused, Unknown, Verdict
 from ragwortstand.versions import Snapshot
 
 _ANSWER_GRACE_S = 0.05
 _CANCEL_TIMEOUT_S = 1.0
+# Copies of work beyond the first, each over a link of its own.
+_MAX_RESENDS = 2
+# Less time than this is not enough for a new link and an answer.
+_MIN_RESEND_S = 0.02
+# How long work goes on without a link, so that its sender can ask again.
+# Below the half second in which work must end after its caller has gone.
+_REATTACH_S = 0.4
+# Outcomes are kept longer than a sender tries to get them again.
+_KEEP_OUTCOME_S = 5.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,7 +61,7 @@
     :param links: links to the other daemons.
     """
 
-    def __init__(self, links: Links) -> None:
+    def __init__(self, links: PeerLinks) -> None:
         """Keep the links."""
         self._links = links
         self._tasks: TaskGroup | None = None
@@ -63,24 +73,37 @@
     async def forward(self, call: Call, member: Member) -> Attempt:
         """Return the outcome of a request at another daemon.
 
+        Work whose link was lost is sent again to the same process, which
+        knows it by its id and does not run it twice.
+
         :param call: the request.
         :param member: the daemon beside the chosen backend server.
         """
-        remaining_s = call.remaining_s(anyio.current_time())
         try:
-            reply = await self._links.ask(
-                member.peer_address,
-                _work(call, remaining_s),
-                remaining_s + _ANSWER_GRACE_S,
-            )
-        except PeerError as error:
-            return Attempt(_outcome_of_error(error, call), 0)
+            return await self._forward(call, member)
         except asyncio.CancelledError:
             self._cancel(call, member)
             raise
-        if not isinstance(reply, WorkDone):
-            return Attempt(Unknown(Cause.INTERNAL), 0)
-        return Attempt(outcome_of(reply), reply.busy)
+
+    async def _forward(self, call: Call, member: Member) -> Attempt:
+        resends = 0
+        while True:
+            now_s = anyio.current_time()
+            work = _work(call, member.boot, bool(resends), now_s)
+            try:
+                reply = await self._links.ask(
+                    member.peer_address,
+                    work,
+                    work.remaining_s + _ANSWER_GRACE_S,
+                )
+            except PeerError as error:
+                if not _may_resend(error, call, member, resends):
+                    return Attempt(_outcome_of_error(error, call, resends), 0)
+                resends += 1
+                continue
+            if not isinstance(reply, WorkDone):
+                return Attempt(Unknown(Cause.INTERNAL), 0)
+            return Attempt(outcome_of(reply), reply.busy)
 
     async def tell(
         self,
@@ -113,6 +136,18 @@
         """Return the outcome of a request."""
 
 
+@dataclass(slots=True, eq=False)
+class _Run:
+    """Forwarded work; later copies of the same work share it."""
+
+    work: Work
+    waiters: int = 0
+    done: anyio.Event = field(default_factory=anyio.Event)
+    scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
+    result: WorkDone | None = None
+    ended_at_s: float = 0.0
+
+
 class ForwardedWork:
     """Runs requests that other daemons forward to this one.
 
@@ -120,6 +155,8 @@
     :param load: returns the load of that backend server.
     :param snapshot: returns the configuration in force.
     :param is_leaving: tells whether this daemon refuses new work.
+    :param boot: random number of this process.
+    :param log: tells of failures of the runner.
     """
 
     def __init__(
@@ -128,46 +165,103 @@
         load: Callable[[float], Load],
         snapshot: Callable[[], Snapshot | None],
         is_leaving: Callable[[], bool],
+        boot: int = 0,
+        log: EventLog | None = None,
     ) -> None:
         """Start without work."""
         self._runner = runner
         self._load = load
         self._snapshot = snapshot
         self._is_leaving = is_leaving
-        self._scopes: dict[RequestId, anyio.CancelScope] = {}
+        self._boot = boot
+        self._log = log or NullLog()
+        self._runs: dict[tuple[RequestId, int], _Run] = {}
+        self._tasks: TaskGroup | None = None
+
+    def start(self, tasks: TaskGroup) -> None:
+        """Use a task group for work that outlives the link it came over."""
+        self._tasks = tasks
 
     @property
     def in_flight(self) -> int:
         """Return how many forwarded requests are under way."""
-        return len(self._scopes)
+        return sum(not run.done.is_set() for run in self._runs.values())
 
     async def run(self, work: Work) -> WorkDone:
         """Run a forwarded request and return its outcome."""
-        if self._is_leaving():
-            return work_done(Refused(Cause.LEAVING), 0)
-        call = self._call(work)
-        outcome: Outcome = Refused(Cause.CALLER_GONE)
+        key = (work.request_id, work.attempt)
+        run = self._runs.get(key)
+        tasks = self._tasks
+        if run is None:
+            if work.is_resent and work.boot != self._boot:
+                return work_done(Unknown(Cause.PEER_UNREACHABLE), 0)
+            if self._is_leaving() or tasks is None:
+                return work_done(Refused(Cause.LEAVING), 0)
+            run = self._begin(work, tasks)
+        run.waiters += 1
         try:
-            with anyio.CancelScope() as scope:
-                self._scopes[work.request_id] = scope
-                outcome = await self._runner.run(call)
+            await run.done.wait()
         finally:
-            self._scopes.pop(work.request_id, None)
-        if scope.cancelled_caught and call.is_dispatched:
-            outcome = Unknown(Cause.CALLER_GONE)
-        load = self._load(anyio.current_time())
-        return work_done(outcome, load.busy)
+            run.waiters -= 1
+            if tasks and not run.waiters and not run.done.is_set():
+                tasks.start_soon(self._abandon, run)
+        return run.result or work_done(Unknown(Cause.INTERNAL), 0)
 
     def cancel(self, request: CancelWork) -> Done:
         """Cancel a request whose caller has gone."""
-        scope = self._scopes.get(request.request_id)
-        if scope:
-            scope.cancel()
+        for (request_id, _), run in self._runs.items():
+            if request_id == request.request_id:
+                run.scope.cancel()
         return Done()
 
+    def _begin(self, work: Work, tasks: TaskGroup) -> _Run:
+        self._forget(anyio.current_time())
+        run = _Run(work)
+        self._runs[work.request_id, work.attempt] = run
+        tasks.start_soon(self._execute, run)
+        return run
+
+    async def _execute(self, run: _Run) -> None:
+        call = self._call(run.work)
+        outcome: Outcome = Refused(Cause.CALLER_GONE)
+        try:
+            with run.scope:
+                outcome = await self._runner.run(call)
+            if run.scope.cancelled_caught and call.is_dispatched:
+                outcome = Unknown(Cause.CALLER_GONE)
+        except Exception as error:
+            outcome = Unknown(Cause.INTERNAL)
+            self._log.emit(
+                Event.TASK_FAILED,
+                task='forwarded work',
+                request=call.request_id,
+                problem=repr(error),
+            )
+        finally:
+            now_s = anyio.current_time()
+            run.result = work_done(outcome, self._load(now_s).busy)
+            run.ended_at_s = now_s
+            run.done.set()
+
+    async def _abandon(self, run: _Run) -> None:
+        """Cancel work that nobody has asked for again in time."""
+        await anyio.sleep(_REATTACH_S)
+        if not run.waiters:
+            run.scope.cancel()
+
+    def _forget(self, now_s: float) -> None:
+        """Drop old outcomes; nobody asks for them any more."""
+        for key, run in tuple(self._runs.items()):
+            if not run.done.is_set():
+                continue
+            if now_s - run.ended_at_s < _KEEP_OUTCOME_S:
+                return
+            self._runs.pop(key)
+
     def _call(self, work: Work) -> Call:
         snapshot = self._snapshot()
         rank = snapshot.rank(work.rank) if snapshot else None
+        now_s = anyio.current_time()
         return Call(
             request_id=work.request_id,
             method=work.method,
@@ -177,14 +271,15 @@
             service=Service(name=work.service),
             rank=rank or Rank(name=work.rank),
             is_idempotent=work.is_idempotent,
-            deadline_s=anyio.current_time() + work.remaining_s,
+            deadline_s=now_s + work.remaining_s,
             version=Version(work.version),
+            goal_s=None if work.goal_s is None else now_s + work.goal_s,
             key=IdempotencyKey(work.key) if work.key else None,
             attempt=work.attempt,
         )
 
 
-def _work(call: Call, remaining_s: float) -> Work:
+def _work(call: Call, boot: int, is_resent: bool, now_s: float) -> Work:
     return Work(
         request_id=call.request_id,
         method=call.method,
@@ -194,15 +289,31 @@
         service=call.service.name,
         rank=call.rank.name,
         is_idempotent=call.is_idempotent,
-        remaining_s=remaining_s,
+        remaining_s=call.remaining_s(now_s),
         version=call.version,
         attempt=call.attempt,
         key=call.key or '',
+        goal_s=None if call.goal_s is None else call.goal_s - now_s,
+        boot=boot,
+        is_resent=is_resent,
     )
 
 
-def _outcome_of_error(error: PeerError, call: Call) -> Outcome:
-    if error.verdict is Verdict.NOT_RUN:
+def _may_resend(
+    error: PeerError,
+    call: Call,
+    member: Member,
+    resends: int,
+) -> bool:
+    if error.verdict is Verdict.NOT_RUN or not member.boot:
+        return False
+    if resends >= _MAX_RESENDS:
+        return False
+    return call.remaining_s(anyio.current_time()) > _MIN_RESEND_S
+
+
+def _outcome_of_error(error: PeerError, call: Call, resends: int) -> Outcome:
+    if error.verdict is Verdict.NOT_RUN and not resends:
         return Refused(Cause.PEER_UNREACHABLE)
     if call.remaining_s(anyio.current_time()) <= 0:
         return Unknown(Cause.DEADLINE)
--- /dev/null
+++ b/src/ragwortstand/peers/goal_choice.py
@@ -0,0 +1,224 @@
+"""ragwortstand.peers.goal_choice: the nearest server that meets the goal."""
+
+import random
+from collections.abc import Callable, Collection, Sequence
+from dataclasses import dataclass, field
+
+from ragwortstand.backend_servers import Load
+from ragwortstand.ids import HostId
+from ragwortstand.models import Rank
+from ragwortstand.peers.choice import Place
+from ragwortstand.peers.messages import Member
+from ragwortstand.verdicts import Answered, Cause, Outcome
+
+# Round trip to a host, an availability zone and a region, in seconds: links
+# of 1 ms between zones and of 12 ms between regions, one way.
+_WAY_S = (0.0, 0.0005, 0.002, 0.025)
+# Part of the rank's target within which a near server is preferred, though a
+# distant one may be faster; bytes to other zones are billed.
+_NEAR_PART = 0.7
+# First guess of the service time as a part of the target.
+_FIRST_GUESS = 0.3
+_MEAN_WEIGHT = 0.2
+# Word of a server's load loses its meaning within this time.
+_LOAD_LIFE_S = 1.0
+# A server that has refused is left alone this long: several service times.
+_REFUSED_S = 0.15
+# Word of failures loses its meaning within this time.
+_FAILURE_LIFE_S = 3.0
+_FAILURE_WEIGHT = 0.15
+# How much a server that fails every request is worse than a sound one.
+_FAILURE_COST = 8.0
+# Pauses after a host could not be reached, doubled up to the longest.
+_BLOCK_MIN_S = 0.3
+_BLOCK_MAX_S = 3.0
+# Differences in cost below this part are left to chance.
+_SPREAD = 0.15
+_TIERS = 3
+_UNREACHABLE = frozenset(
+    (
+        Cause.BACKEND_SERVER_DOWN,
+        Cause.CRASHED,
+        Cause.LEAVING,
+        Cause.NO_BACKEND_SERVER,
+        Cause.PEER_UNREACHABLE,
+    ),
+)
+_FAILED = frozenset((Cause.REJECTED, Cause.CONNECTION_LOST, Cause.DEADLINE))
+_SERVER_ERROR = 500
+
+
+@dataclass(slots=True)
+class _Signal:
+    """What recent calls told of one backend server."""
+
+    outstanding: int = 0
+    busy: float = 0.0
+    heard_at_s: float = 0.0
+    service_s: dict[str, float] = field(default_factory=dict)
+    failing: float = 0.0
+    blocks: int = 0
+    blocked_until_s: float = 0.0
+    refused_until_s: float = 0.0
+
+
+class GoalChoice:
+    """The nearest backend server that is expected to meet the goal.
+
+    Where none is, the one with the earliest expected answer.
+
+    :param place: where this daemon is.
+    :param own_load: returns the load of the backend server on this host.
+    :param rng: source of randomness.
+    """
+
+    def __init__(
+        self,
+        place: Place,
+        own_load: Callable[[float], Load],
+        rng: random.Random,
+    ) -> None:
+        """Start without signals."""
+        self._place = place
+        self._own_load = own_load
+        self._rng = rng
+        self._signals: dict[HostId, _Signal] = {}
+
+    def choose(
+        self,
+        members: Sequence[Member],
+        rank: Rank,
+        tried: Collection[HostId],
+        now_s: float,
+    ) -> Member | None:
+        """Return the member to send a request to.
+
+        :param members: the members that offer the service.
+        :param rank: rank of the request.
+        :param tried: hosts that the request was sent to before.
+        :param now_s: present time.
+        """
+        open_members = [
+            member
+            for member in members
+            if member.host not in tried
+            and self._signal(member).blocked_until_s <= now_s
+        ]
+        best: Member | None = None
+        best_s = 0.0
+        for tier in self._tiers(open_members):
+            picked, cost_s = self._cheapest(tier, rank, now_s)
+            if cost_s <= rank.target_s * _NEAR_PART:
+                return picked
+            if best is None or cost_s < best_s:
+                best, best_s = picked, cost_s
+        return best
+
+    def forget(self, host: HostId) -> None:
+        """Drop what is known of a host, as its daemon is a new process."""
+        signal = self._signals.get(host)
+        if signal:
+            self._signals[host] = _Signal(outstanding=signal.outstanding)
+
+    def started(self, host: HostId, rank: Rank) -> None:
+        """Note that a request was sent to a host."""
+        self._signals.setdefault(host, _Signal()).outstanding += 1
+
+    def finished(
+        self,
+        host: HostId,
+        rank: Rank,
+        outcome: Outcome,
+        busy: float,
+        taken_s: float,
+        now_s: float,
+    ) -> None:
+        """Take in the outcome of a request.
+
+        :param host: where it was sent.
+        :param rank: rank of the request.
+        :param outcome: what became of it.
+        :param busy: load that came with the outcome.
+        :param taken_s: time from sending to the outcome.
+        :param now_s: present time.
+        """
+        signal = self._signals.setdefault(host, _Signal())
+        signal.outstanding -= 1
+        if not isinstance(outcome, Answered) and outcome.cause in _UNREACHABLE:
+            self._block(signal, now_s)
+            return
+        if not isinstance(outcome, Answered):
+            if outcome.cause is Cause.OVERLOADED:
+                signal.refused_until_s = now_s + _REFUSED_S
+                signal.busy = busy
+                signal.heard_at_s = now_s
+            elif outcome.cause in _FAILED:
+                _note_failure(signal, 1.0)
+            return
+        signal.blocks = 0
+        signal.busy = busy
+        signal.heard_at_s = now_s
+        _note_failure(signal, float(outcome.status >= _SERVER_ERROR))
+        # The time in the queue is taken off by the load.
+        service_s = taken_s / max(1.0, busy)
+        known_s = signal.service_s.get(rank.name, service_s)
+        known_s += _MEAN_WEIGHT * (service_s - known_s)
+        signal.service_s[rank.name] = known_s
+
+    def _signal(self, member: Member) -> _Signal:
+        return self._signals.setdefault(member.host, _Signal())
+
+    def _tiers(self, members: Sequence[Member]) -> list[list[Member]]:
+        """Return members by zone, region and the rest, the nearest first."""
+        tiers: list[list[Member]] = [[] for _ in range(_TIERS)]
+        for member in members:
+            distance = self._place.distance(member)
+            tiers[max(0, distance - 1)].append(member)
+        return [tier for tier in tiers if tier]
+
+    def _cheapest(
+        self,
+        members: list[Member],
+        rank: Rank,
+        now_s: float,
+    ) -> tuple[Member, float]:
+        costs = [
+            (
+                self._cost_s(member, rank, now_s)
+                * self._rng.uniform(1, 1 + _SPREAD),
+                position,
+            )
+            for position, member in enumerate(members)
+        ]
+        cost_s, position = min(costs)
+        return members[position], cost_s
+
+    def _cost_s(self, member: Member, rank: Rank, now_s: float) -> float:
+        signal = self._signal(member)
+        service_s = signal.service_s.get(rank.name)
+        service_s = service_s or rank.target_s * _FIRST_GUESS
+        load = self._load(member, signal, now_s)
+        expected_s = service_s * max(1.0, load)
+        if signal.refused_until_s > now_s:
+            expected_s = max(expected_s, rank.target_s)
+        failing = signal.failing
+        if now_s - signal.heard_at_s > _FAILURE_LIFE_S:
+            failing = 0.0
+        way_s = _WAY_S[self._place.distance(member)]
+        return way_s + expected_s * (1 + _FAILURE_COST * failing)
+
+    def _load(self, member: Member, signal: _Signal, now_s: float) -> float:
+        if member.host == self._place.host:
+            return self._own_load(now_s).busy
+        own = signal.outstanding / max(1, member.slots)
+        age = (now_s - signal.heard_at_s) / _LOAD_LIFE_S
+        return max(own, signal.busy * max(0.0, 1 - age))
+
+    def _block(self, signal: _Signal, now_s: float) -> None:
+        block_s = min(_BLOCK_MAX_S, _BLOCK_MIN_S * 2**signal.blocks)
+        signal.blocks = min(signal.blocks + 1, 10)
+        signal.blocked_until_s = now_s + block_s
+
+
+def _note_failure(signal: _Signal, failed: float) -> None:
+    signal.failing += _FAILURE_WEIGHT * (failed - signal.failing)
--- a/src/ragwortstand/peers/gossip.py
+++ b/src/ragwortstand/peers/gossip.py
@@ -17,7 +17,6 @@
 from ragwortstand.exceptions import PeerError
 from ragwortstand.ids import HostId, PeerAddress, Version, ZoneName
 from ragwortstand.peers.homes import Homes
-from ragwortstand.peers.links import Links
 from ragwortstand.peers.members import Members
 from ragwortstand.peers.messages import (
     IndirectPing,
@@ -29,11 +28,11 @@
     Ping,
     Pong,
 )
+from ragwortstand.peers.protocols import PeerLinks
 from ragwortstand.settings import MembershipSettings
 
 _BRIDGES = 2
 _HELPERS = 2
-_NEWS_FANOUT = 3
 _JITTER = 0.1
 _PAUSE_FACTOR = 3.0
 _JOIN_TIMEOUT_S = 2.0
@@ -58,7 +57,7 @@
     def __init__(
         self,
         members: Members,
-        links: Links,
+        links: PeerLinks,
         settings: MembershipSettings,
         homes: Homes,
         version_in_force: Callable[[], Version],
@@ -116,7 +115,8 @@
     async def spread(self) -> None:
         """Tell a few random members the news at once."""
         peers = self._members.peers()
-        chosen = self._rng.sample(peers, min(_NEWS_FANOUT, len(peers)))
+        fanout = min(self._settings.news_fanout, len(peers))
+        chosen = self._rng.sample(peers, fanout)
         async with anyio.create_task_group() as probes:
             for peer in chosen:
                 probes.start_soon(self._ping, peer)
--- a/src/ragwortstand/peers/members.py
+++ b/src/ragwortstand/peers/members.py
@@ -185,6 +185,19 @@
             self._orders[key] = order
         return [self._entries[host].member for host in order[:count]]
 
+    def best_readers(self, count: int) -> list[Member]:
+        """Return members that read the store for all, by rendezvous hashing.
+
+        They are chosen among those that reach it best.
+
+        :param count: how many to return.
+        """
+        members = self.usable()
+        reach = max(member.store_reach for member in members)
+        hosts = [one.host for one in members if one.store_reach == reach]
+        order = ranked('store-reader', hosts)
+        return [self._entries[host].member for host in order[:count]]
+
     def _hosts_in(
         self,
         zone: ZoneName | None,
--- a/src/ragwortstand/peers/messages.py
+++ b/src/ragwortstand/peers/messages.py
@@ -55,6 +55,8 @@
     :param service: service of the backend server beside it, if any.
     :param slots: slots of that backend server.
     :param is_ready: whether that backend server takes work.
+    :param boot: random number of the daemon's process; 0 where it has none.
+    :param store_reach: how well the daemon reaches the platform's store.
     """
 
     host: HostId
@@ -66,6 +68,8 @@
     service: ServiceName | None = None
     slots: int = 0
     is_ready: bool = False
+    boot: int = 0
+    store_reach: int = 0
 
 
 class Ping(_Message, frozen=True):
@@ -190,6 +194,9 @@
     :param request_id: id of the request.
     :param remaining_s: time until its deadline.
     :param key: the caller's idempotency key, or empty.
+    :param goal_s: time until the answer loses most of its use.
+    :param boot: process that got the work first, where it is sent again.
+    :param is_resent: whether the work may have arrived before.
     """
 
     request_id: RequestId
@@ -204,6 +211,9 @@
     version: Version
     attempt: int
     key: str = ''
+    goal_s: float | None = None
+    boot: int = 0
+    is_resent: bool = False
 
 
 class WorkDone(_Message, frozen=True):
--- a/src/ragwortstand/peers/store_watch.py
+++ b/src/ragwortstand/peers/store_watch.py
@@ -11,9 +11,9 @@
 import anyio
 
 from ragwortstand.exceptions import PeerError, PlatformError
-from ragwortstand.peers.links import Links
 from ragwortstand.peers.members import Members
 from ragwortstand.peers.messages import AskStore, Member, StoreAnswer
+from ragwortstand.peers.protocols import PeerLinks
 
 _ASKED = 3
 _PROBE_TIMEOUT_S = 0.5
@@ -34,7 +34,7 @@
     def __init__(
         self,
         members: Members,
-        links: Links,
+        links: PeerLinks,
         store_region: str,
         probe: Callable[[], Awaitable[object]],
         rng: random.Random,
--- /dev/null
+++ b/src/ragwortstand/peers/streams.py
@@ -0,0 +1,423 @@
+"""ragwortstand.peers.streams: links to other daemons over plain streams.
+
+One connection for each peer and direction carries many requests at once.
+Each frame has a length, a kind, a number and a body; a reply bears the number
+of its request. A link on which nothing is heard while requests wait is
+checked with beats and reset when those are not answered either.
+"""
+
+import asyncio
+import enum
+import socket
+import struct
+from collections.abc import Awaitable, Callable
+from typing import TypeAlias, cast
+
+import anyio
+import msgspec
+from anyio.abc import TaskGroup
+
+from ragwortstand.events import Event, EventLog
+from ragwortstand.exceptions import PeerError
+from ragwortstand.ids import HostId, PeerAddress
+from ragwortstand.metrics import Metrics
+from ragwortstand.peers.messages import (
+    Envelope,
+    Refusal,
+    Reply,
+    Request,
+    Work,
+    WorkDone,
+    decode_envelope,
+    decode_reply,
+    encode,
+    work_done,
+)
+from ragwortstand.verdicts import Cause, Unknown, Verdict
+
+#: Time to open a connection: several round trips of 24 ms between regions.
+CONNECT_TIMEOUT_S = 0.4
+# A peer that does not accept is not dialled again for this long, so that
+# requests are refused at once and go elsewhere.
+_REDIAL_PAUSE_S = 0.3
+# Silence while requests wait, after which a beat asks for a sign of life.
+_BEAT_AFTER_S = 0.25
+# Silence after which the link is reset: beyond one retransmission timeout
+# of TCP (at least 0.2 s) and a round trip.
+_DEAD_AFTER_S = 0.9
+_WATCH_S = 0.1
+# An unused link that fails is noticed by the kernel's probes.
+_KEEPALIVE = (
+    (socket.TCP_KEEPIDLE, 2),
+    (socket.TCP_KEEPINTVL, 1),
+    (socket.TCP_KEEPCNT, 2),
+)
+# Time that sent bytes may stay unacknowledged.
+_USER_TIMEOUT_MS = 2000
+_HEADER = struct.Struct('!IBI')
+_BACKLOG = 512
+
+
+class FrameKind(enum.IntEnum):
+    """What a frame carries."""
+
+    REQUEST = 1
+    REPLY = 2
+    BEAT = 3
+    BEAT_REPLY = 4
+
+
+class _Frames(asyncio.Protocol):
+    """Cuts the bytes of a connection into frames."""
+
+    def __init__(self, max_frame_bytes: int) -> None:
+        self._max_frame_bytes = max_frame_bytes
+        self._buffer = bytearray()
+        self.transport: asyncio.Transport | None = None
+        self.heard_at_s = anyio.current_time()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        _watch_connection(transport.get_extra_info('socket'))
+
+    def data_received(self, data: bytes) -> None:
+        self.heard_at_s = anyio.current_time()
+        buffer = self._buffer
+        buffer += data
+        start = 0
+        while len(buffer) - start >= _HEADER.size:
+            size, kind, number = _HEADER.unpack_from(buffer, start)
+            if size > self._max_frame_bytes:
+                self.abort()
+                return
+            end = start + _HEADER.size + size
+            if len(buffer) < end:
+                break
+            body = bytes(buffer[start + _HEADER.size : end])
+            start = end
+            self.on_frame(kind, number, body)
+        del buffer[:start]
+
+    def send(self, kind: FrameKind, number: int, body: bytes = b'') -> None:
+        if self.transport is not None and not self.transport.is_closing():
+            header = _HEADER.pack(len(body), kind, number)
+            self.transport.write(header + body)
+
+    def on_frame(self, kind: int, number: int, body: bytes) -> None:
+        raise NotImplementedError
+
+    def abort(self) -> None:
+        """Reset the connection, so that bytes under way are not delivered.
+
+        A request that was given up must not arrive when the network heals.
+        """
+        transport = self.transport
+        if transport is None:
+            return
+        connection = transport.get_extra_info('socket')
+        if connection is not None:
+            linger = struct.pack('ii', 1, 0)
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        transport.abort()
+
+
+class _Dialled(_Frames):
+    """The asking end of a connection."""
+
+    def __init__(self, max_frame_bytes: int) -> None:
+        super().__init__(max_frame_bytes)
+        self.waiting: dict[int, asyncio.Future[bytes]] = {}
+        self.asked_at_s = self.heard_at_s
+        self.is_lost = False
+        self._number = 0
+
+    async def ask(self, wire: bytes) -> bytes:
+        now_s = anyio.current_time()
+        if not self.waiting:
+            self.heard_at_s = now_s
+        self._number += 1
+        number = self._number
+        reply = asyncio.get_running_loop().create_future()
+        self.waiting[number] = reply
+        try:
+            self.send(FrameKind.REQUEST, number, wire)
+            return cast(bytes, await reply)
+        finally:
+            self.waiting.pop(number, None)
+
+    def on_frame(self, kind: int, number: int, body: bytes) -> None:
+        reply = self.waiting.get(number)
+        if kind == FrameKind.REPLY and reply and not reply.done():
+            reply.set_result(body)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.is_lost = True
+        error = PeerError(f'link lost: {exc}', Verdict.MAY_HAVE_RUN)
+        for reply in self.waiting.values():
+            if not reply.done():
+                reply.set_exception(error)
+
+    def check(self, now_s: float) -> bool:
+        """Ask for a sign of life; return False when there was none.
+
+        :param now_s: present time.
+        """
+        silent_s = now_s - self.heard_at_s
+        if not self.waiting or silent_s < _BEAT_AFTER_S:
+            return True
+        if silent_s > _DEAD_AFTER_S:
+            return False
+        self.send(FrameKind.BEAT, 0)
+        return True
+
+
+class StreamLinks:
+    """Links to all peers that were asked.
+
+    Usage::
+
+        >>> links = StreamLinks(cluster, host, metrics, log, limit, scope_of)
+        >>> reply = await links.ask(address, Ping(version), timeout_s=0.4)
+
+    :param cluster: name of the cluster.
+    :param host: this daemon's host.
+    :param metrics: counts control bytes.
+    :param log: tells of links that are reset.
+    :param max_message_bytes: limit of a message.
+    :param scope_of: names the scope of an address: zone, region or regional.
+    """
+
+    def __init__(
+        self,
+        cluster: str,
+        host: HostId,
+        metrics: Metrics,
+        log: EventLog,
+        max_message_bytes: int,
+        scope_of: Callable[[PeerAddress], str],
+    ) -> None:
+        """Start without links."""
+        self._cluster = cluster
+        self._host = host
+        self._metrics = metrics
+        self._log = log
+        self._max_message_bytes = max_message_bytes
+        self._scope_of = scope_of
+        self._dialled: dict[PeerAddress, _Dialled] = {}
+        self._dialling: dict[PeerAddress, anyio.Lock] = {}
+        self._refused_until_s: dict[PeerAddress, float] = {}
+
+    async def ask(
+        self,
+        address: PeerAddress,
+        request: Request,
+        timeout_s: float,
+    ) -> Reply:
+        """Send a request to a peer and return its reply.
+
+        :param address: where the peer listens.
+        :param request: the request.
+        :param timeout_s: time to wait for the reply.
+        :raises PeerError: when there is no usable reply in time.
+        """
+        wire = encode(Envelope(self._cluster, self._host, request))
+        link = await self._link(address, min(timeout_s, CONNECT_TIMEOUT_S))
+        self._count(address, request, len(wire), 'sent')
+        try:
+            with anyio.fail_after(timeout_s):
+                answer = await link.ask(wire)
+        except TimeoutError as error:
+            problem = f'no answer in {timeout_s:g} s'
+            raise PeerError(problem, Verdict.MAY_HAVE_RUN) from error
+        try:
+            reply = decode_reply(answer)
+        except msgspec.DecodeError as error:
+            problem = f'malformed reply: {error}'
+            raise PeerError(problem, Verdict.MAY_HAVE_RUN) from error
+        self._count(address, reply, len(answer), 'received')
+        if isinstance(reply, Refusal):
+            raise PeerError(reply.problem, Verdict.NOT_RUN)
+        return reply
+
+    async def run(self) -> None:
+        """Reset links that have gone silent, until cancelled."""
+        while True:
+            await anyio.sleep(_WATCH_S)
+            now_s = anyio.current_time()
+            for address, link in tuple(self._dialled.items()):
+                if not link.check(now_s):
+                    self._log.emit(Event.LINK_RESET, peer=address)
+                    self._drop(address)
+
+    def forget(self, address: PeerAddress) -> None:
+        """Close the link to a peer that departed."""
+        link = self._dialled.get(address)
+        if link and not link.waiting:
+            self._drop(address)
+
+    def close(self) -> None:
+        """Close all links."""
+        for address in tuple(self._dialled):
+            self._drop(address)
+
+    async def _link(self, address: PeerAddress, timeout_s: float) -> _Dialled:
+        lock = self._dialling.setdefault(address, anyio.Lock())
+        async with lock:
+            link = self._dialled.get(address)
+            if link and not link.is_lost:
+                return link
+            now_s = anyio.current_time()
+            if now_s < self._refused_until_s.get(address, 0):
+                raise PeerError('peer did not accept', Verdict.NOT_RUN)
+            try:
+                link = await self._dial(address, timeout_s)
+            except OSError as error:
+                until_s = anyio.current_time() + _REDIAL_PAUSE_S
+                self._refused_until_s[address] = until_s
+                raise PeerError(str(error), Verdict.NOT_RUN) from error
+            self._dialled[address] = link
+            return link
+
+    async def _dial(self, address: PeerAddress, timeout_s: float) -> _Dialled:
+        host, _, port = address.rpartition('/')[2].partition(':')
+        loop = asyncio.get_running_loop()
+        with anyio.fail_after(timeout_s):
+            _, link = await loop.create_connection(
+                lambda: _Dialled(self._max_message_bytes), host, int(port)
+            )
+        return link
+
+    def _drop(self, address: PeerAddress) -> None:
+        link = self._dialled.pop(address, None)
+        if link:
+            link.abort()
+
+    def _count(
+        self,
+        address: PeerAddress,
+        message: Request | Reply,
+        size_bytes: int,
+        direction: str,
+    ) -> None:
+        if isinstance(message, Work | WorkDone):
+            return
+        counter = self._metrics.control_bytes.labels(
+            self._scope_of(address), direction, type(message).__name__
+        )
+        counter.inc(size_bytes)
+
+
+Handler: TypeAlias = Callable[[HostId, Request], Awaitable[Reply]]
+
+
+class _Accepted(_Frames):
+    """The answering end of a connection."""
+
+    def __init__(self, listener: 'StreamListener') -> None:
+        super().__init__(listener.max_message_bytes)
+        self._listener = listener
+        self._scopes: set[anyio.CancelScope] = set()
+
+    def on_frame(self, kind: int, number: int, body: bytes) -> None:
+        if kind == FrameKind.BEAT:
+            self.send(FrameKind.BEAT_REPLY, number)
+        elif kind == FrameKind.REQUEST and self._listener.tasks:
+            self._listener.tasks.start_soon(self._answer, number, body)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        for scope in self._scopes:
+            scope.cancel()
+
+    async def _answer(self, number: int, body: bytes) -> None:
+        with anyio.CancelScope() as scope:
+            self._scopes.add(scope)
+            try:
+                reply = await self._listener.answer(body)
+            finally:
+                self._scopes.discard(scope)
+            self.send(FrameKind.REPLY, number, encode(reply))
+
+
+class StreamListener:
+    """Answers requests from other daemons; one task for each request.
+
+    :param cluster: requests of other clusters are refused.
+    :param max_message_bytes: limit of a request.
+    :param metrics: counts refused messages.
+    :param log: tells of refused messages.
+    """
+
+    def __init__(
+        self,
+        cluster: str,
+        max_message_bytes: int,
+        metrics: Metrics,
+        log: EventLog,
+    ) -> None:
+        """Keep the collaborators."""
+        self._cluster = cluster
+        self._metrics = metrics
+        self._log = log
+        self._handler: Handler | None = None
+        self.max_message_bytes = max_message_bytes
+        self.tasks: TaskGroup | None = None
+
+    async def serve(
+        self,
+        listener: socket.socket,
+        handler: Handler,
+        tasks: TaskGroup,
+    ) -> None:
+        """Answer requests until cancelled.
+
+        :param listener: a bound socket.
+        :param handler: returns the reply to a request.
+        :param tasks: where requests are answered.
+        """
+        self._handler = handler
+        self.tasks = tasks
+        loop = asyncio.get_running_loop()
+        server = await loop.create_server(
+            lambda: _Accepted(self), sock=listener, backlog=_BACKLOG
+        )
+        try:
+            await anyio.sleep_forever()
+        finally:
+            server.close()
+
+    async def answer(self, wire: bytes) -> Reply:
+        """Return the reply to an encoded request.
+
+        :param wire: the encoded envelope.
+        """
+        try:
+            envelope = decode_envelope(wire)
+        except msgspec.DecodeError as error:
+            return self._refuse('malformed', f'malformed message: {error}')
+        if envelope.cluster != self._cluster or self._handler is None:
+            problem = f'this is not cluster {envelope.cluster!r}'
+            return self._refuse('cluster', problem)
+        try:
+            return await self._handler(envelope.sender, envelope.request)
+        except Exception as error:
+            refusal = self._refuse('internal', repr(error))
+        if isinstance(envelope.request, Work):
+            return work_done(Unknown(Cause.INTERNAL), 0)
+        return refusal
+
+    def _refuse(self, cause: str, problem: str) -> Refusal:
+        self._metrics.peer_errors.labels(cause).inc()
+        self._log.emit(Event.PEER_MESSAGE_REFUSED, problem=problem)
+        return Refusal(problem)
+
+
+def _watch_connection(connection: socket.socket | None) -> None:
+    """Let the kernel end a connection whose other end is out of reach."""
+    if connection is None:
+        return
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for option, amount in _KEEPALIVE:
+        connection.setsockopt(socket.IPPROTO_TCP, option, amount)
+    connection.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS
+    )
--- /dev/null
+++ b/src/ragwortstand/platform/program.py
@@ -0,0 +1,152 @@
+"""ragwortstand.platform.program: the sidecar as the platform starts it."""
+
+import argparse
+import os
+import pathlib
+import random
+import signal
+import sys
+from collections.abc import Sequence
+
+import anyio
+
+from ragwortstand.commands import ExitCode, report
+from ragwortstand.events import EliotLog, Event, EventLog
+from ragwortstand.exceptions import SettingsError
+from ragwortstand.metrics import Metrics
+from ragwortstand.platform.control import ControlApi, ReadyApi
+from ragwortstand.platform.headers import (
+    PlatformBackendServers,
+    PlatformCallers,
+)
+from ragwortstand.platform.settings import Node, load_node
+from ragwortstand.platform.store import (
+    StoreClient,
+    StoreTable,
+    StoreVersions,
+)
+from ragwortstand.sidecar import Parts, Sidecar
+
+SETTINGS_VARIABLE = 'RAGWORTSTAND_SETTINGS'
+# The file may change without a signal.
+_WATCH_FILE_S = 1.0
+
+
+class Program:
+    """The sidecar, its adapter and the settings file it follows.
+
+    :param path: path of the settings file.
+    :param node: what it says.
+    :param log: where events go.
+    """
+
+    def __init__(self, path: str, node: Node, log: EventLog) -> None:
+        """Connect the adapter's parts with the sidecar."""
+        self._path = pathlib.Path(path)
+        self._node = node
+        self._log = log
+        metrics = Metrics()
+        client = StoreClient(node.provider.address, metrics, log)
+        versions = StoreVersions(client, _ignore, log)
+        self._callers = PlatformCallers(node.service, random.Random())
+        parts = Parts(
+            callers=self._callers,
+            backend_servers=PlatformBackendServers(),
+            versions=versions,
+            table=StoreTable(client),
+        )
+        self._sidecar = Sidecar(node.sidecar(), parts, metrics, log)
+        versions.on_reach = self._sidecar.set_store_reach
+        self._ready = ReadyApi(lambda: self._sidecar.is_ready, metrics.render)
+        self._control = ControlApi(self._sidecar, node.app_addr, log)
+
+    async def run(self) -> None:
+        """Serve until told to stop."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._follow_signals)
+            tasks.start_soon(self._follow_file)
+            await self._sidecar.run(self._ready.answer, self._control.answer)
+            tasks.cancel_scope.cancel()
+
+    async def _follow_signals(self) -> None:
+        wanted = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+        with anyio.open_signal_receiver(*wanted) as signals:
+            async for received in signals:
+                if received is signal.SIGHUP:
+                    self._reload()
+                else:
+                    self._sidecar.stop()
+
+    async def _follow_file(self) -> None:
+        seen = self._stamp()
+        while True:
+            await anyio.sleep(_WATCH_FILE_S)
+            stamp = self._stamp()
+            if stamp != seen:
+                seen = stamp
+                self._reload()
+
+    def _stamp(self) -> tuple[int, int]:
+        try:
+            found = self._path.stat()
+        except OSError:
+            # A file that is being replaced is there again at the next look.
+            return (0, 0)
+        return (found.st_mtime_ns, found.st_size)
+
+    def _reload(self) -> None:
+        """Take over a changed settings file; keep the old one if it fails."""
+        try:
+            node = load_node(str(self._path))
+            settings = node.sidecar()
+        except SettingsError as error:
+            self._log.emit(Event.RELOAD_REFUSED, problem=str(error))
+            return
+        self._node = node
+        self._callers.service = node.service
+        self._control.address = node.app_addr
+        self._sidecar.reload(settings)
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Run the sidecar.
+
+    :param arguments: command line without the program's name.
+    :returns: exit code.
+    """
+    parser = argparse.ArgumentParser(
+        prog='ragwortd-platform',
+        description='Daemon of ragwortstand on the platform.',
+    )
+    parser.add_argument(
+        '--settings',
+        default=os.environ.get(SETTINGS_VARIABLE, ''),
+        metavar='FILE',
+        help=f'settings file; default: the variable {SETTINGS_VARIABLE}',
+    )
+    parser.add_argument('--check-settings', action='store_true')
+    options = parser.parse_args(arguments)
+    try:
+        node = load_node(options.settings)
+        node.sidecar()
+    except SettingsError as error:
+        return report(error, ExitCode.FAULTY)
+    if options.check_settings:
+        return ExitCode.DONE
+    log = EliotLog(node.node_name, sys.stdout)
+    anyio.run(
+        _run,
+        options.settings,
+        node,
+        log,
+        backend_options={'use_uvloop': True},
+    )
+    return ExitCode.DONE
+
+
+async def _run(path: str, node: Node, log: EventLog) -> None:
+    await Program(path, node, log).run()
+
+
+def _ignore(reach: int) -> None:
+    """Do nothing until the sidecar is there to be told."""
--- /dev/null
+++ b/src/ragwortstand/platform/settings.py
@@ -0,0 +1,163 @@
+"""ragwortstand.platform.settings: the platform's settings file, decoded."""
+
+import pathlib
+
+import msgspec
+
+from ragwortstand.exceptions import Fault, SettingsError
+from ragwortstand.ids import PeerAddress
+from ragwortstand.peers.shared_budget import RetryTerms
+from ragwortstand.settings import (
+    AdminSettings,
+    BackendServerSettings,
+    DaemonSettings,
+    LimitSettings,
+    Listen,
+    MembershipSettings,
+    PeerSettings,
+    PlatformSettings,
+)
+from ragwortstand.sidecar import SidecarSettings
+
+_CLUSTER = 'mesh'
+# Metrics have a port of their own; the deploy file names it too.
+METRICS_PORT = 9464
+_DEFAULT_GRACE_S = 6.0
+# The platform keeps the operators' interface; this one is not served.
+_UNUSED_TOKEN = 'not-served-on-this-platform'
+_MAX_BODY_BYTES = 64 * 1024 * 1024
+# Heartbeats that may be missed, or come late, before a silent backend server
+# counts as gone.
+_MISSED_HEARTBEATS = 4
+# An idle connection of a backend server is closed by it after seconds.
+_IDLE_REUSE_S = 4.0
+_STRICT_IDLE_REUSE_S = 1.0
+# Departed members are remembered for the length of a rolling restart.
+_DEPARTED_S = 60.0
+_NEWS_FANOUT = 100
+
+
+class _Listen(msgspec.Struct, frozen=True):
+    # Where other daemons reach this one.
+    inbound: str
+    # Where callers on this host send their requests.
+    outbound: str
+    ready: str
+    # Where the backend server sends heartbeats.
+    control: str | None = None
+
+
+class _Store(msgspec.Struct, frozen=True):
+    address: str
+
+
+class Node(msgspec.Struct, frozen=True, rename='camel'):
+    """What the settings file says of this host.
+
+    :param node_name: unique name of the host.
+    :param zone: its availability zone.
+    :param app_addr: where the backend server listens.
+    :param service: service of the backend server.
+    :param provider: the platform's store.
+    :param bounds: figures of the platform's rules, as ``name=value``.
+    """
+
+    node_name: str
+    zone: str
+    region: str
+    listen: _Listen
+    app_addr: str
+    service: str
+    provider: _Store
+    seeds: list[str] = []
+    heartbeat_ms: float = 1500.0
+    bounds: list[str] = []
+
+    def bound(self, name: str, default: float) -> float:
+        """Return a figure of the platform's rules.
+
+        :param name: its name.
+        :param default: its value where the file has none.
+        :raises SettingsError: when it is not a number.
+        """
+        for entry in self.bounds:
+            key, _, text = entry.partition('=')
+            if key == name:
+                try:
+                    return float(text)
+                except ValueError as error:
+                    fault = Fault('$.bounds', f'{entry!r} is not a number')
+                    raise SettingsError([fault]) from error
+        return default
+
+    def sidecar(self) -> SidecarSettings:
+        """Return the product's settings."""
+        outbound = _listen(self.listen.outbound)
+        inbound = _listen(self.listen.inbound)
+        return SidecarSettings(
+            daemon=self._daemon(outbound, inbound),
+            ready=_listen(self.listen.ready),
+            control=_listen(self.listen.control or ''),
+            metrics=Listen(address=inbound.address, port=METRICS_PORT),
+            seeds=tuple(
+                PeerAddress(f'tcp://{_listen(seed).address}:{inbound.port}')
+                for seed in self.seeds
+                if _listen(seed).address != inbound.address
+            ),
+            retry_terms=RetryTerms(
+                ratio=self.bound('retryRatio', RetryTerms().ratio),
+                slack=self.bound('retrySlack', RetryTerms().slack),
+                window_s=self.bound('retryWindowS', RetryTerms().window_s),
+            ),
+            grace_s=self.bound('graceS', _DEFAULT_GRACE_S),
+        )
+
+    def _daemon(self, outbound: Listen, inbound: Listen) -> DaemonSettings:
+        silence_s = self.heartbeat_ms / 1000 * _MISSED_HEARTBEATS
+        return DaemonSettings(
+            cluster=_CLUSTER,
+            host=self.node_name,
+            region=self.region,
+            availability_zone=self.zone,
+            admin=AdminSettings(token=_UNUSED_TOKEN),
+            platform=PlatformSettings(
+                url=f'http://{self.provider.address}', region=self.region
+            ),
+            callers=outbound,
+            peers=PeerSettings(address=inbound.address, port=inbound.port),
+            limits=LimitSettings(
+                max_request_bytes=_MAX_BODY_BYTES,
+                max_answer_bytes=_MAX_BODY_BYTES,
+            ),
+            backend_server=BackendServerSettings(
+                idle_reuse_s=_IDLE_REUSE_S,
+                strict_idle_reuse_s=_STRICT_IDLE_REUSE_S,
+                announce_timeout_s=silence_s,
+            ),
+            membership=MembershipSettings(
+                departed_s=_DEPARTED_S, news_fanout=_NEWS_FANOUT
+            ),
+        )
+
+
+def load_node(path: str) -> Node:
+    """Read the settings file.
+
+    :param path: path of the JSON file.
+    :raises SettingsError: when it can't be read or lacks something.
+    """
+    try:
+        return msgspec.json.decode(pathlib.Path(path).read_bytes(), type=Node)
+    except OSError as error:
+        problem = f'cannot read {path}: {error.strerror}'
+        raise SettingsError([Fault('$', problem)]) from error
+    except msgspec.DecodeError as error:
+        raise SettingsError([Fault('$', str(error))]) from error
+
+
+def _listen(address: str) -> Listen:
+    host, _, port = address.rpartition(':')
+    if not host or not port.isdigit():
+        fault = Fault('$.listen', f'{address!r} is not host:port')
+        raise SettingsError([fault])
+    return Listen(address=host, port=int(port))
--- /dev/null
+++ b/src/ragwortstand/platform/store.py
@@ -0,0 +1,405 @@
+"""ragwortstand.platform.store: rows and versions in the platform's store."""
+
+import base64
+import math
+from collections.abc import Callable
+from typing import TypeVar
+from urllib.parse import urlencode
+
+import anyio
+import msgspec
+
+from ragwortstand.backend_servers.clients import HttptoolsConnection
+from ragwortstand.backend_servers.connections import (
+    ConnectionPool,
+    Endpoint,
+    WireRequest,
+)
+from ragwortstand.events import Event, EventLog
+from ragwortstand.exceptions import (
+    BackendServerError,
+    ConfigurationError,
+    PlatformError,
+)
+from ragwortstand.ids import Digest, SubmissionId, Version
+from ragwortstand.metrics import Metrics
+from ragwortstand.models import digest_of
+from ragwortstand.platform.configuration import decode_configuration
+from ragwortstand.storage import VersionRecord
+from ragwortstand.storage.table import (
+    Row,
+    Transaction,
+    TransactionResult,
+)
+from ragwortstand.verdicts import Answered, Verdict
+
+#: Table of the product's own rows.
+TABLE = 'ragwortstand'
+_OPERATOR_TABLE = 'op'
+_CONFIGURATION_KEY = 'config'
+# An answer takes 4 ms and up to a hundred times that while the store is slow.
+_TIMEOUT_S = 1.0
+# Each look ends after this time at most, so that a silent connection delays
+# a version no longer; many times the interval between two changes.
+_FEED_WAIT_S = 2.0
+# Changes that follow each other more closely are read together.
+_FEED_PAUSE_S = 0.1
+# Between two looks of a daemon that leaves reading to others, and after a
+# look that failed.
+_IDLE_S = 0.25
+# How long a daemon that the store has failed leaves reading to others.
+_UNREACHED_S = 5.0
+# Answers of a store in the same region come within this time.
+_NEAR_S = 0.015
+_MAX_CONNECTIONS = 4
+# A transaction of 1 MB in base64, and the list around it.
+_MAX_ANSWER_BYTES = 4 * 1024 * 1024
+_IDLE_REUSE_S = 10.0
+_NO_HISTORY = 410
+_CONDITION_FAILED = 412
+
+_Document = TypeVar('_Document')
+
+
+class _StoreRow(msgspec.Struct, frozen=True):
+    key: str
+    # Base64; missing where the row was removed.
+    value: str = ''
+    # Version of the transaction that wrote the row.
+    ver: int = 0
+    deleted: bool = False
+
+    def content(self) -> bytes:
+        return base64.b64decode(self.value)
+
+
+class _Rows(msgspec.Struct, frozen=True, rename='camel'):
+    rows: list[_StoreRow]
+    # Newest version of the store.
+    ver: int
+    has_more: bool = False
+
+
+class _Committed(msgspec.Struct, frozen=True):
+    ver: int = 0
+    rows: list[_StoreRow] = []
+
+
+class StoreClient:
+    """Calls to the store, each with a time limit.
+
+    A connection on which a call failed is closed, and the next call opens a
+    fresh one; a read is repeated once on such a connection.
+
+    :param address: ``host:port`` of the store.
+    :param metrics: counts the calls.
+    :param log: tells when the store goes out of reach and is back.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        metrics: Metrics,
+        log: EventLog,
+    ) -> None:
+        """Prepare the pool; connections are opened on first use."""
+        host, _, port = address.rpartition(':')
+        self._host = address.encode()
+        self._pool = ConnectionPool(
+            HttptoolsConnection.connect,
+            Endpoint(host, int(port)),
+            _MAX_CONNECTIONS,
+            _MAX_ANSWER_BYTES,
+        )
+        self._metrics = metrics
+        self._log = log
+        self.is_reachable = True
+        self.answer_s = math.inf
+
+    async def read(
+        self,
+        call: str,
+        query: dict[str, str | int],
+        form: type[_Document],
+        timeout_s: float = _TIMEOUT_S,
+    ) -> _Document | None:
+        """Return the answer to a read; None where its history is gone.
+
+        :param call: path of the call.
+        :param query: its parameters.
+        :param form: type of the answer.
+        :param timeout_s: time to wait for the answer.
+        :raises PlatformError: when there is no usable answer.
+        """
+        target = f'{call}?{urlencode(query)}'
+        try:
+            answered = await self._call('GET', target, b'', timeout_s)
+        except PlatformError as error:
+            if error.verdict is Verdict.NOT_RUN:
+                raise
+            answered = await self._call('GET', target, b'', timeout_s)
+        if answered.status == _NO_HISTORY:
+            return None
+        self._check(answered, call)
+        return _decode(answered, form)
+
+    async def write(self, call: str, document: object) -> bool:
+        """Run a transaction; return whether its conditions held.
+
+        :param call: path of the call.
+        :param document: the transaction.
+        :raises PlatformError: when there is no usable answer.
+        """
+        body = msgspec.json.encode(document)
+        answered = await self._call('POST', call, body, _TIMEOUT_S)
+        if answered.status == _CONDITION_FAILED:
+            return False
+        self._check(answered, call)
+        return True
+
+    async def _call(
+        self,
+        method: str,
+        target: str,
+        body: bytes,
+        timeout_s: float,
+    ) -> Answered:
+        headers = ((b'content-type', b'application/json'),) if body else ()
+        request = WireRequest(method, target, headers, body, self._host)
+        started_s = anyio.current_time()
+        try:
+            with anyio.fail_after(timeout_s):
+                answered = await self._exchange(request, started_s)
+        except TimeoutError as error:
+            problem = f'no answer in {timeout_s:g} s'
+            raise self._failure(problem, Verdict.MAY_HAVE_RUN) from error
+        except BackendServerError as error:
+            raise self._failure(str(error), error.verdict) from error
+        self._metrics.platform_calls.labels(method, 'ok').inc()
+        self.answer_s = min(self.answer_s, anyio.current_time() - started_s)
+        return answered
+
+    async def _exchange(self, request: WireRequest, now_s: float) -> Answered:
+        connection = await self._pool.acquire(_IDLE_REUSE_S, now_s)
+        try:
+            return await connection.exchange(request)
+        finally:
+            self._pool.release(connection, anyio.current_time())
+
+    def _check(self, answered: Answered, call: str) -> None:
+        if answered.status != 200:
+            problem = f'{call} answered {answered.status}'
+            raise self._failure(problem, Verdict.NOT_RUN)
+        if not self.is_reachable:
+            self._log.emit(Event.PLATFORM_BACK)
+        self.is_reachable = True
+
+    def _failure(self, problem: str, verdict: Verdict) -> PlatformError:
+        self._metrics.platform_calls.labels('any', 'failed').inc()
+        if self.is_reachable:
+            self._log.emit(Event.PLATFORM_OUTAGE, problem=problem)
+        self.is_reachable = False
+        self._pool.close()
+        return PlatformError(problem, verdict)
+
+
+class StoreTable:
+    """The product's table service over rows of the store.
+
+    :param client: calls the store.
+    """
+
+    def __init__(self, client: StoreClient) -> None:
+        """Keep the client."""
+        self._client = client
+
+    async def get(self, key: str) -> Row | None:
+        """Return a row, or None where there is none."""
+        rows = await self._rows(key, f'{key}\0', 1)
+        return rows[0] if rows else None
+
+    async def scan(self, prefix: str, limit: int = 500) -> tuple[Row, ...]:
+        """Return the rows whose key starts with a prefix, by key."""
+        return await self._rows(prefix, f'{prefix}\x7f', limit)
+
+    async def transact(self, transaction: Transaction) -> TransactionResult:
+        """Run a transaction."""
+        conditions = [
+            {**_place(one.key), 'ver': one.revision}
+            for one in transaction.conditions
+        ]
+        puts = [
+            {
+                **_place(write.key),
+                'value': base64.b64encode(write.content.encode()).decode(),
+            }
+            for write in transaction.writes
+            if write.content is not None
+        ]
+        removed = [
+            _place(write.key)
+            for write in transaction.writes
+            if write.content is None
+        ]
+        is_committed = await self._client.write(
+            '/api/rows-tx',
+            {'expectRev': conditions, 'puts': puts, 'remove': removed},
+        )
+        return TransactionResult(is_committed)
+
+    async def _rows(self, start: str, end: str, limit: int) -> tuple[Row, ...]:
+        query: dict[str, str | int] = {
+            'table': TABLE,
+            'part': '',
+            'from': start,
+            'to': end,
+            'limit': limit,
+        }
+        found = await self._client.read('/api/rows-get', query, _Rows)
+        if found is None:
+            return ()
+        return tuple(
+            Row(row.key, row.ver, row.content().decode('utf-8', 'replace'))
+            for row in found.rows
+        )
+
+
+class StoreVersions:
+    """Accepted versions of the configuration in the operator's row.
+
+    One look at the feed brings a new version as a whole, so `head` and
+    `content` need no call after it.
+
+    :param client: calls the store.
+    :param on_reach: told how well the store answers: 0 for not at all, 1 from
+        another region, 2 from near.
+    :param log: tells of rows that can't be used.
+    """
+
+    def __init__(
+        self,
+        client: StoreClient,
+        on_reach: Callable[[int], None],
+        log: EventLog,
+    ) -> None:
+        """Start without a version."""
+        self._client = client
+        self._log = log
+        self._record: VersionRecord | None = None
+        self._content = b''
+        self._seen = 0
+        self._is_followed = False
+        self._failed_at_s = -math.inf
+        self.on_reach = on_reach
+
+    async def head(self) -> VersionRecord | None:
+        """Return the newest accepted version, None where there is none."""
+        if self._is_followed:
+            self._is_followed = False
+            return self._record
+        await self._read()
+        return self._record
+
+    async def content(self, digest: Digest) -> bytes | None:
+        """Return the content of a version, None where it is not held."""
+        return self._content if self.is_held(digest) else None
+
+    def is_held(self, digest: Digest) -> bool:
+        """Return whether the content of a version has been read."""
+        return self._record is not None and self._record.digest == digest
+
+    async def wait(self, is_reader: bool) -> None:
+        """Wait until the newest version is worth another look."""
+        self._is_followed = True
+        if not is_reader:
+            self._recover(anyio.current_time())
+            await anyio.sleep(_IDLE_S)
+            return
+        try:
+            await self._follow()
+        except PlatformError:
+            # The client has logged the reason.
+            self._failed_at_s = anyio.current_time()
+            self.on_reach(0)
+            await anyio.sleep(_IDLE_S)
+
+    def _recover(self, now_s: float) -> None:
+        """Offer to read again some time after a failure."""
+        if now_s - self._failed_at_s > _UNREACHED_S:
+            self._tell_reach()
+
+    def _tell_reach(self) -> None:
+        if self._client.answer_s < math.inf:
+            self.on_reach(2 if self._client.answer_s < _NEAR_S else 1)
+
+    async def _follow(self) -> None:
+        if not self._seen:
+            await self._read()
+            return
+        query: dict[str, str | int] = {
+            'table': _OPERATOR_TABLE,
+            'after': self._seen,
+            'waitMs': int(_FEED_WAIT_S * 1000),
+        }
+        timeout_s = _FEED_WAIT_S + _TIMEOUT_S
+        found = await self._client.read(
+            '/api/rows-feed', query, _Rows, timeout_s
+        )
+        if found is None:
+            await self._read()
+            return
+        self._take(found)
+        self._tell_reach()
+        if found.rows:
+            await anyio.sleep(_FEED_PAUSE_S)
+
+    async def _read(self) -> None:
+        query: dict[str, str | int] = {
+            'table': _OPERATOR_TABLE,
+            'part': '',
+            'from': _CONFIGURATION_KEY,
+            'to': f'{_CONFIGURATION_KEY}\0',
+        }
+        found = await self._client.read('/api/rows-get', query, _Rows)
+        if found is not None:
+            self._take(found)
+        self._tell_reach()
+
+    def _take(self, found: _Rows) -> None:
+        self._seen = max(self._seen, found.ver)
+        for row in found.rows:
+            if row.key == _CONFIGURATION_KEY and not row.deleted:
+                self._take_row(row)
+
+    def _take_row(self, row: _StoreRow) -> None:
+        try:
+            version, mesh = decode_configuration(row.content())
+        except (ConfigurationError, ValueError) as error:
+            self._log.emit(
+                Event.VERSION_REFUSED,
+                row_version=row.ver,
+                cause='unreadable',
+                problem=str(error)[:500],
+            )
+            return
+        if self._record and version <= self._record.version:
+            return
+        self._content = mesh.to_json().encode()
+        self._record = VersionRecord(
+            version=Version(version),
+            digest=digest_of(self._content),
+            submission=SubmissionId(''),
+            author='operator',
+            accepted_unix_s=0.0,
+        )
+
+
+def _place(key: str) -> dict[str, str]:
+    return {'table': TABLE, 'part': '', 'key': key}
+
+
+def _decode(answered: Answered, form: type[_Document]) -> _Document:
+    try:
+        return msgspec.json.decode(answered.body, type=form)
+    except msgspec.DecodeError as error:
+        raise PlatformError(str(error), Verdict.MAY_HAVE_RUN) from error
--- a/src/ragwortstand/settings.py
+++ b/src/ragwortstand/settings.py
@@ -101,12 +101,14 @@
     :param probe_timeout_s: time to wait for the answer to a probe.
     :param suspicion_s: time that a suspect has to refute.
     :param departed_s: how long a departed member is remembered.
+    :param news_fanout: members that are told of a change at once.
     """
 
     probe_interval_s: _Interval = 1.0
     probe_timeout_s: _Interval = 0.4
     suspicion_s: _Interval = 2.0
     departed_s: Annotated[float, Field(gt=0, le=604_800)] = 86_400.0
+    news_fanout: Annotated[int, Field(ge=1, le=1000)] = 3
 
 
 class ClaimSettings(StrictModel):
--- /dev/null
+++ b/src/ragwortstand/sidecar.py
@@ -0,0 +1,488 @@
+"""ragwortstand.sidecar: the daemon where the platform hands out the parts.
+
+It is the daemon of `ragwortstand.daemon` without claims and without a log of
+submissions: the platform keeps the accepted configuration, and callers bring
+no idempotency keys.
+"""
+
+import random
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+import anyio
+from anyio.abc import TaskGroup
+
+from ragwortstand.backend_servers import (
+    Announcement,
+    BackendServer,
+    BackendState,
+)
+from ragwortstand.backend_servers.dialect import BackendDialect
+from ragwortstand.backend_servers.goals import GoalAdmission
+from ragwortstand.callers.dispatch import Dispatcher
+from ragwortstand.callers.proxy import CallerDialect, Proxy
+from ragwortstand.callers.splits import WeightedSplits
+from ragwortstand.events import Event, EventLog
+from ragwortstand.http_server import Answer, HttpServer
+from ragwortstand.ids import (
+    Fingerprint,
+    HostId,
+    PeerAddress,
+    RegionName,
+    ServiceName,
+    ZoneName,
+)
+from ragwortstand.metrics import Metrics
+from ragwortstand.models import CallerLimits
+from ragwortstand.peers.choice import Place
+from ragwortstand.peers.distribution import (
+    DistributionPolicy,
+    Distributor,
+    VersionSource,
+)
+from ragwortstand.peers.enrolment import Enrolment
+from ragwortstand.peers.forwarding import ForwardedWork, Forwarder
+from ragwortstand.peers.goal_choice import GoalChoice
+from ragwortstand.peers.gossip import Gossip
+from ragwortstand.peers.handlers import PeerHandlers
+from ragwortstand.peers.homes import Homes
+from ragwortstand.peers.members import Members
+from ragwortstand.peers.messages import (
+    CrashSuspects,
+    Member,
+    MemberState,
+    SuspectCleared,
+)
+from ragwortstand.peers.scopes import LinkScopes
+from ragwortstand.peers.shared_budget import RetryTerms, SharedBudgetRetries
+from ragwortstand.peers.store_watch import StoreWatch
+from ragwortstand.peers.streams import StreamLinks, StreamListener
+from ragwortstand.settings import DaemonSettings, Listen
+from ragwortstand.sockets import bind
+from ragwortstand.storage.table import TableService
+from ragwortstand.versions import Snapshot, VersionGate
+
+# Message beyond the bodies that it carries.
+_MESSAGE_OVERHEAD_BYTES = 4 * 1024 * 1024
+# How long acknowledgements wait for peers to hear that a server leaves.
+_SPREAD_TIMEOUT_S = 0.5
+# Members that are told of changes and versions directly; beyond this number
+# gossip carries them on.
+_FANOUT = 100
+_EXPIRE_S = 0.25
+_STOP_POLL_S = 0.05
+# Readiness is asked for once a second, and two misses send callers elsewhere;
+# their last requests are under way for a little longer.
+_CALLERS_GONE_S = 2.6
+_QUIET_S = 0.3
+# New requests are refused this long after the signal; what began before has
+# the rest of the grace period.
+_REFUSE_AFTER_S = 3.0
+# Kept of the grace period for the exit itself.
+_EXIT_RESERVE_S = 0.5
+_TELL_TIMEOUT_S = 0.5
+_RESTART_S = 0.5
+_BOOT_BITS = 48
+
+
+@dataclass(frozen=True, slots=True)
+class SidecarSettings:
+    """Settings of a sidecar.
+
+    :param daemon: settings that all daemons have.
+    :param ready: where readiness is asked for.
+    :param control: where the backend server announces itself.
+    :param metrics: where metrics are read.
+    :param seeds: daemons to join through while the store is out.
+    :param retry_terms: budget of retries that all daemons share.
+    :param grace_s: time between the signal to stop and the end.
+    """
+
+    daemon: DaemonSettings
+    ready: Listen
+    control: Listen
+    metrics: Listen
+    seeds: tuple[PeerAddress, ...]
+    retry_terms: RetryTerms
+    grace_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Parts:
+    """What an adapter brings.
+
+    :param callers: headers of callers' requests.
+    :param backend_servers: headers of requests to backend servers.
+    :param versions: reads accepted versions.
+    :param table: the platform's table service.
+    """
+
+    callers: CallerDialect
+    backend_servers: BackendDialect
+    versions: VersionSource
+    table: TableService
+
+
+class Sidecar:
+    """All parts of one sidecar and the tasks that drive them.
+
+    Usage::
+
+        >>> sidecar = Sidecar(settings, parts, metrics, log)
+        >>> anyio.run(sidecar.run, answer_ready, answer_control)
+
+    :param settings: checked settings.
+    :param parts: what the adapter brings.
+    :param metrics: counters of this process.
+    :param log: where events go.
+    """
+
+    def __init__(
+        self,
+        settings: SidecarSettings,
+        parts: Parts,
+        metrics: Metrics,
+        log: EventLog,
+    ) -> None:
+        """Connect the parts."""
+        self._settings = settings
+        self._parts = parts
+        self._metrics = metrics
+        self._log = log
+        self._rng = random.Random()
+        self._boot = self._rng.getrandbits(_BOOT_BITS) | 1
+        self._gate = VersionGate()
+        self._stopping = anyio.Event()
+        self._tasks: TaskGroup | None = None
+        self._build_peers()
+        self._build_calls()
+
+    @property
+    def is_ready(self) -> bool:
+        """Return whether callers may be sent here."""
+        return self._snapshot() is not None and not self._stopping.is_set()
+
+    async def run(self, ready: Answer, control: Answer) -> None:
+        """Serve until told to stop, then leave in order.
+
+        :param ready: answers questions for readiness.
+        :param control: answers the backend server's announcements.
+        """
+        daemon = self._settings.daemon
+        async with anyio.create_task_group() as tasks:
+            self._tasks = tasks
+            self._forwarder.start(tasks)
+            self._forwarded.start(tasks)
+            tasks.start_soon(
+                self._listener.serve,
+                bind(daemon.peers.address, daemon.peers.port),
+                self._handlers.handle,
+                tasks,
+            )
+            self._callers = HttpServer(
+                self._proxy.answer, self._limits, self._log
+            )
+            self._serve(self._callers, daemon.callers, tasks)
+            for answer, listen in (
+                (ready, self._settings.ready),
+                (control, self._settings.control),
+            ):
+                server = HttpServer(answer, self._limits, self._log)
+                self._serve(server, listen, tasks)
+            self._start(tasks)
+            self._log.emit(Event.LISTENING, boot=self._boot)
+            await self._stopping.wait()
+            await self._leave()
+            tasks.cancel_scope.cancel()
+        self._links.close()
+        self._log.emit(Event.STOPPED, exit=0)
+
+    def stop(self) -> None:
+        """Begin a graceful stop."""
+        self._stopping.set()
+
+    def reload(self, settings: SidecarSettings) -> None:
+        """Take over settings that may change while the process runs.
+
+        :param settings: the new settings.
+        """
+        self._settings = settings
+        self._retries.terms = settings.retry_terms
+        self._log.emit(Event.RELOADED)
+
+    async def announce(self, announcement: Announcement) -> None:
+        """Take in what the backend server says of itself.
+
+        Word that it is leaving has been passed on, as far as peers can be
+        reached, when this returns.
+
+        :param announcement: its words.
+        """
+        before = self._backend_server.state
+        await self._backend_server.announce(announcement, anyio.current_time())
+        if before is not self._backend_server.state:
+            await self._spread_soon()
+
+    async def depart(self, instance: str, boot: int) -> None:
+        """Take in that a backend server is leaving and says no more.
+
+        :param instance: the backend server.
+        :param boot: its start; 0 where it is not told.
+        """
+        self._backend_server.depart(instance, boot)
+        await self._spread_soon()
+
+    def set_store_reach(self, reach: int) -> None:
+        """Note how well the platform's store answers this daemon.
+
+        :param reach: 0 for not at all; the higher, the better.
+        """
+        if reach != self._members.own.store_reach:
+            self._members.update_own(store_reach=reach)
+            self._spawn_spread()
+
+    def _build_peers(self) -> None:
+        daemon = self._settings.daemon
+        address = f'{daemon.peers.address}:{daemon.peers.port}'
+        own = Member(
+            host=HostId(daemon.host),
+            peer_address=PeerAddress(f'tcp://{address}'),
+            region=RegionName(daemon.region),
+            zone=ZoneName(daemon.availability_zone),
+            incarnation=int(time.time() * 1000),
+            boot=self._boot,
+        )
+        self._members = Members(own, daemon.membership, anyio.current_time())
+        self._members.on_change = self._on_member
+        self._scopes = LinkScopes(self._members)
+        max_message_bytes = _MESSAGE_OVERHEAD_BYTES + max(
+            daemon.limits.max_request_bytes, daemon.limits.max_answer_bytes
+        )
+        self._links = StreamLinks(
+            daemon.cluster,
+            own.host,
+            self._metrics,
+            self._log,
+            max_message_bytes,
+            lambda address: self._scopes.of_address(address).value,
+        )
+        self._listener = StreamListener(
+            daemon.cluster, max_message_bytes, self._metrics, self._log
+        )
+        self._distributor = Distributor(
+            self._gate,
+            self._parts.versions,
+            self._members,
+            self._links,
+            DistributionPolicy(fanout=_FANOUT, is_flat=True, standby_delay_s=0),
+            self._metrics,
+            self._log,
+            self._rng,
+        )
+        self._homes = Homes(self._members, daemon.claims.window_s)
+        self._gossip = Gossip(
+            self._members,
+            self._links,
+            daemon.membership,
+            self._homes,
+            lambda: self._gate.version,
+            self._distributor.heard,
+            self._rng,
+        )
+        self._enrolment = Enrolment(
+            self._members,
+            self._gossip,
+            self._parts.table,
+            daemon.cluster,
+            self._settings.seeds,
+            self._log,
+            self._rng,
+        )
+
+    def _build_calls(self) -> None:
+        daemon = self._settings.daemon
+        self._backend_server = BackendServer(
+            daemon,
+            self._log,
+            self._parts.backend_servers,
+            GoalAdmission(),
+        )
+        self._backend_server.on_change = self._on_backend_server
+        self._backend_server.crashes.on_crash = self._on_crash
+        self._backend_server.crashes.on_clear = self._on_clear
+        self._gate.subscribe(self._backend_server.configure)
+        self._forwarder = Forwarder(self._links)
+        own = self._members.own
+        self._choice = GoalChoice(
+            Place(own.host, own.zone, own.region),
+            self._backend_server.load,
+            self._rng,
+        )
+        self._retries = SharedBudgetRetries(
+            self._settings.retry_terms, lambda: len(self._members.usable())
+        )
+        dispatcher = Dispatcher(
+            self._members,
+            self._choice,
+            self._retries,
+            self._homes,
+            self._backend_server,
+            self._backend_server.load,
+            self._forwarder,
+            self._metrics,
+            self._log,
+        )
+        splits = WeightedSplits(self._rng)
+        self._gate.subscribe(lambda snapshot: splits.clear())
+        self._proxy = Proxy(
+            self._snapshot,
+            dispatcher,
+            self._parts.callers,
+            splits,
+            self._metrics,
+            self._log,
+        )
+        self._forwarded = ForwardedWork(
+            self._backend_server,
+            self._backend_server.load,
+            self._snapshot,
+            self._stopping.is_set,
+            self._boot,
+            self._log,
+        )
+        self._handlers = PeerHandlers(
+            self._gossip,
+            self._distributor,
+            self._forwarded,
+            StoreWatch(
+                self._members,
+                self._links,
+                own.region,
+                self._parts.versions.head,
+                self._rng,
+            ),
+            self._members,
+            self._backend_server.crashes.record,
+        )
+
+    def _serve(
+        self,
+        server: HttpServer,
+        listen: Listen,
+        tasks: TaskGroup,
+    ) -> None:
+        socket = bind(listen.address, listen.port)
+        tasks.start_soon(server.serve, socket, tasks)
+
+    def _start(self, tasks: TaskGroup) -> None:
+        for task in (
+            self._links.run,
+            self._enrolment.run,
+            self._gossip.run,
+            self._distributor.run,
+            self._expire,
+        ):
+            tasks.start_soon(self._supervise, task)
+
+    async def _supervise(self, task: Callable[[], Awaitable[None]]) -> None:
+        """Run a task for ever, and start it again when it fails."""
+        while True:
+            try:
+                await task()
+            except Exception as error:
+                self._log.emit(
+                    Event.TASK_FAILED,
+                    task=task.__qualname__,
+                    problem=repr(error),
+                )
+            await anyio.sleep(_RESTART_S)
+
+    async def _expire(self) -> None:
+        while True:
+            await anyio.sleep(_EXPIRE_S)
+            self._backend_server.expire(anyio.current_time())
+
+    async def _leave(self) -> None:
+        """Finish what is under way while callers are sent elsewhere."""
+        started_s = anyio.current_time()
+        self._log.emit(
+            Event.STOPPING,
+            callers=self._callers.in_flight,
+            forwarded=self._forwarded.in_flight,
+        )
+        self._members.update_own(is_ready=False)
+        self._spawn_spread()
+        self._callers.close_idle()
+        end_s = started_s + self._settings.grace_s - _EXIT_RESERVE_S
+        now_s = started_s
+        while now_s < end_s and not self._is_quiet(now_s - started_s, now_s):
+            await anyio.sleep(_STOP_POLL_S)
+            now_s = anyio.current_time()
+            if now_s - started_s > _REFUSE_AFTER_S:
+                self._proxy.is_refusing = True
+        self._members.update_own(state=MemberState.LEFT)
+        await self._spread_soon()
+
+    def _is_quiet(self, elapsed_s: float, now_s: float) -> bool:
+        if elapsed_s < _CALLERS_GONE_S:
+            return False
+        if self._callers.in_flight or self._forwarded.in_flight:
+            return False
+        return now_s - self._proxy.last_request_at_s > _QUIET_S
+
+    async def _on_crash(self, suspects: tuple[Fingerprint, ...]) -> None:
+        await self._tell_service(CrashSuspects(suspects))
+
+    async def _on_clear(self, fingerprint: Fingerprint) -> None:
+        await self._tell_service(SuspectCleared(fingerprint))
+
+    async def _tell_service(
+        self,
+        message: CrashSuspects | SuspectCleared,
+    ) -> None:
+        """Tell the daemons whose backend servers offer the same service."""
+        service = self._backend_server.service
+        async with anyio.create_task_group() as tellers:
+            for member in self._members.peers():
+                if member.service == service:
+                    tellers.start_soon(
+                        self._forwarder.tell, member, message, _TELL_TIMEOUT_S
+                    )
+
+    def _snapshot(self) -> Snapshot | None:
+        return self._gate.snapshot if self._distributor.is_settled else None
+
+    def _limits(self) -> CallerLimits:
+        snapshot = self._gate.snapshot
+        return snapshot.mesh.limits if snapshot else CallerLimits()
+
+    def _on_backend_server(self) -> None:
+        announcement = self._backend_server.announcement
+        is_ready = self._backend_server.state is BackendState.READY
+        self._members.update_own(
+            service=announcement.service if announcement else None,
+            slots=announcement.slots if announcement else 0,
+            is_ready=is_ready and not self._stopping.is_set(),
+        )
+        self._spawn_spread()
+
+    async def _spread_soon(self) -> None:
+        with anyio.move_on_after(_SPREAD_TIMEOUT_S):
+            await self._gossip.spread()
+
+    def _spawn_spread(self) -> None:
+        if self._tasks:
+            self._tasks.start_soon(self._gossip.spread)
+
+    def _on_member(self, member: Member) -> None:
+        self._scopes.learn(member)
+        self._choice.forget(member.host)
+        self._log.emit(
+            Event.MEMBER,
+            member=member.host,
+            service=ServiceName(member.service or ''),
+            state=member.state.name.lower(),
+            incarnation=member.incarnation,
+            is_ready=member.is_ready,
+        )
--- a/src/ragwortstand/storage/__init__.py
+++ b/src/ragwortstand/storage/__init__.py
@@ -11,7 +11,6 @@
     VersionRecord,
 )
 from ragwortstand.storage.claims import ClaimTable
-from ragwortstand.storage.client import PlatformClient
 from ragwortstand.storage.entry_points import EntryPoint, EntryPoints
 
 __all__ = (
@@ -22,7 +21,6 @@
     'EntryPoint',
     'EntryPoints',
     'Faulty',
-    'PlatformClient',
     'Submission',
     'SubmissionOutcome',
     'Unavailable',
--- a/src/ragwortstand/tools/processes.py
+++ b/src/ragwortstand/tools/processes.py
@@ -16,7 +16,7 @@
 import msgspec
 
 from ragwortstand.exceptions import RagwortstandError
-from ragwortstand.servers import bind, port_of
+from ragwortstand.sockets import bind, port_of
 from ragwortstand.tools.standin_link import LinkMode, LinkState
 
 LOOPBACK = '127.0.0.1'
--- a/src/ragwortstand/tools/standin_cli.py
+++ b/src/ragwortstand/tools/standin_cli.py
@@ -15,7 +15,8 @@
 import anyio
 
 from ragwortstand.commands import ExitCode, add_version, report
-from ragwortstand.servers import bind, http_server, port_of
+from ragwortstand.servers import http_server
+from ragwortstand.sockets import bind, port_of
 from ragwortstand.tools.standin_backend import (
     BackendServerStandin,
     Behaviour,
--- a/src/ragwortstand/verdicts.py
+++ b/src/ragwortstand/verdicts.py
@@ -39,6 +39,8 @@
     CLAIM_UNAVAILABLE = 'claim-unavailable'
     ANSWER_TOO_LARGE = 'answer-too-large'
     INTERNAL = 'internal-error'
+    REJECTED = 'rejected'
+    WRONG_ANSWER = 'wrong-answer'
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/ragwortstand/versions.py
+++ b/src/ragwortstand/versions.py
@@ -2,7 +2,7 @@
 
 import enum
 from collections import OrderedDict
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
 from ragwortstand import api
@@ -23,13 +23,30 @@
     INVALID = 'invalid'
 
 
+@dataclass(frozen=True, slots=True)
+class Part:
+    """One service of a route.
+
+    :param service: the service.
+    :param weight: its part of the requests, relative to the other parts.
+    """
+
+    service: Service
+    weight: float
+
+
 @dataclass(frozen=True, slots=True)
 class Match:
-    """A route with the rank and the service that it names."""
+    """A route with the rank and the services that it names."""
 
     route: Route
     rank: Rank
-    service: Service
+    parts: tuple[Part, ...]
+
+    @property
+    def service(self) -> Service:
+        """Return the first service of the route, most often the only one."""
+        return self.parts[0].service
 
 
 class Snapshot:
@@ -58,31 +75,59 @@
         self.digest = digest_of(content)
         ranks = {rank.name: rank for rank in mesh.ranks}
         services = {service.name: service for service in mesh.services}
+        self.services = services
         self._ranks = ranks
-        self._routes: dict[tuple[str, str], Match] = {}
+        self._routes: dict[tuple[str, str, str], Match] = {}
         for route in mesh.routes:
-            match = Match(route, ranks[route.rank], services[route.service])
+            parts = tuple(
+                Part(services[part.service], part.weight)
+                for part in route.parts
+            )
+            match = Match(route, ranks[route.rank], parts)
             for method in route.methods or (_ANY_METHOD,):
-                self._routes[_normal(route.path), method] = match
+                self._routes[route.host, _key(route), method] = match
 
     def rank(self, name: str) -> Rank | None:
         """Return the rank of that name."""
         return self._ranks.get(name)
 
-    def match(self, method: str, path: str) -> Match | None:
+    def match(self, method: str, path: str, host: str = '') -> Match | None:
         """Return the longest route that covers a request.
 
+        A route for the request's host goes before one for any host.
+
         :param method: HTTP method in upper case.
         :param path: path without the query.
+        :param host: host name that the caller asked for, in lower case.
         :returns: the match, or None where no route covers the request.
         """
-        prefix = _normal(path)
-        while True:
-            found = self._routes.get((prefix, method))
-            found = found or self._routes.get((prefix, _ANY_METHOD))
-            if found or not prefix:
+        found = self._longest(method, path, host) if host else None
+        return found or self._longest(method, path, '')
+
+    def _longest(self, method: str, path: str, host: str) -> Match | None:
+        for prefix in _prefixes(path):
+            found = self._routes.get((host, prefix, method))
+            found = found or self._routes.get((host, prefix, _ANY_METHOD))
+            if found:
                 return found
-            prefix = prefix.rpartition('/')[0]
+        return None
+
+
+def _key(route: Route) -> str:
+    """Return the path of a route; a slash at its end marks `below_only`."""
+    path = route.path.rstrip('/')
+    return f'{path}/' if route.below_only else path
+
+
+def _prefixes(path: str) -> Iterator[str]:
+    """Return the route paths that cover a path, the longest first."""
+    if not path.endswith('/'):
+        yield path
+    end = path.rfind('/')
+    while end >= 0:
+        yield path[: end + 1]
+        yield path[:end]
+        end = path.rfind('/', 0, end)
 
 
 class VersionGate:
@@ -140,7 +185,3 @@
             self._contents.popitem(last=False)
         for listener in self._listeners:
             listener(snapshot)
-
-
-def _normal(path: str) -> str:
-    return path.rstrip('/')
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -5,7 +5,7 @@
 
 import anyio
 
-from ragwortstand.backend_servers.server import wire_request
+from ragwortstand.backend_servers.dialect import wire_request
 from ragwortstand.callers.answers import render
 from ragwortstand.callers.front import Front
 from ragwortstand.callers.overload import OverloadGuard
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -2,16 +2,14 @@
 
 import unittest
 
-from ragwortstand.backend_servers.clients import (
-    HttpcoreConnection,
-    HttptoolsConnection,
-)
+from ragwortstand.backend_servers.clients import HttptoolsConnection
 from ragwortstand.backend_servers.connections import (
     ConnectionPool,
     Endpoint,
     HttpConnection,
     WireRequest,
 )
+from ragwortstand.backend_servers.httpcore_client import HttpcoreConnection
 from ragwortstand.exceptions import BackendServerError
 from ragwortstand.verdicts import Verdict
 from tests.servers import OK, answering, running_server
