--- a/src/ragwortstand/backend_servers/clients.py
+++ b/src/ragwortstand/backend_servers/clients.py
@@ -219,7 +219,7 @@
     size = len(request.body)
     host = request.host or host
     lines = [
-        f'{request.method} {request.target} HTTP/1.1\r\n'.encode(),
+        f'{request.method} {request.target} HTTP/1.1\r\n'.encode('latin-1'),
         b'host: %b\r\ncontent-length: %d\r\n' % (host, size),
     ]
     lines.extend(
--- a/src/ragwortstand/backend_servers/server.py
+++ b/src/ragwortstand/backend_servers/server.py
@@ -116,6 +116,7 @@
         self._dialect = dialect or RagwortDialect()
         self._admission = admission or _admission_for(settings)
         self._departed: set[tuple[str, int]] = set()
+        self.last_departed: tuple[str, int] | None = None
         self._pool: ConnectionPool | None = None
         self._suspect_turn = anyio.Lock()
         self._announced_at_s = 0.0
@@ -178,6 +179,8 @@
             # A boot that is leaving does not come back.
             announcement = replace(announcement, is_draining=True)
         self.announcement = announcement
+        if announcement.is_draining and announcement.boot:
+            self._note_departed(_identity(announcement))
         self._set_state(
             BackendState.DRAINING
             if announcement.is_draining
@@ -191,11 +194,11 @@
         :param boot: its start; 0 where it is not told.
         """
         known = self.announcement
-        self._departed.add((instance, boot))
+        self._note_departed((instance, boot))
         if known is None or known.instance != instance:
             return
         if boot in {0, known.boot}:
-            self._departed.add(_identity(known))
+            self._note_departed(_identity(known))
             self.announcement = replace(known, is_draining=True)
             self._set_state(BackendState.DRAINING)
 
@@ -232,6 +235,10 @@
     def _instance(self) -> str:
         return self.announcement.instance if self.announcement else ''
 
+    def _note_departed(self, identity: tuple[str, int]) -> None:
+        self._departed.add(identity)
+        self.last_departed = identity
+
     def _is_outdated(self, announcement: Announcement) -> bool:
         """Return whether something newer is known of the address."""
         if _identity(announcement) in self._departed:
--- /dev/null
+++ b/src/ragwortstand/graceful_stop.py
@@ -0,0 +1,97 @@
+"""ragwortstand.graceful_stop: the order in which a sidecar leaves.
+
+Readiness falls first. The backend server stays in use by other daemons for a
+while, and callers are served until they have been sent elsewhere; only then
+are new requests refused, and what is under way has the rest of the time.
+"""
+
+from collections.abc import Callable
+
+import anyio
+
+from ragwortstand import clock
+from ragwortstand.callers.proxy import Proxy
+from ragwortstand.events import Event, EventLog
+from ragwortstand.http_server import HttpServer
+from ragwortstand.peers.forwarding import ForwardedWork
+from ragwortstand.peers.members import Members
+from ragwortstand.peers.messages import MemberState
+
+_POLL_S = 0.05
+# Readiness is asked for once a second, and two misses send callers elsewhere;
+# their last requests are under way for a little longer.
+_CALLERS_GONE_S = 2.6
+_QUIET_S = 0.3
+# The backend server stays in use by other daemons this long after the signal;
+# their requests have more than twice as long to end.
+_SERVE_PEERS_S = 1.5
+# New requests of callers are refused this long after the signal; what began
+# before has the rest of the grace period.
+_REFUSE_AFTER_S = 3.0
+# Kept of the grace period for telling the others and for the exit itself.
+_EXIT_RESERVE_S = 1.2
+
+
+class GracefulStop:
+    """Stops a sidecar without losing requests.
+
+    :param proxy: answers callers.
+    :param forwarded: runs requests of other daemons.
+    :param members: the list of members.
+    :param tell: tells the others of the own entry.
+    :param log: told of the beginning.
+    """
+
+    def __init__(
+        self,
+        proxy: Proxy,
+        forwarded: ForwardedWork,
+        members: Members,
+        tell: Callable[[], None],
+        log: EventLog,
+    ) -> None:
+        """Wait for `run`."""
+        self._proxy = proxy
+        self._forwarded = forwarded
+        self._members = members
+        self._tell = tell
+        self._log = log
+        self.is_leaving = False
+
+    async def run(self, callers: HttpServer, grace_s: float) -> None:
+        """Return when nothing is under way, or when time runs out.
+
+        :param callers: the server that callers are connected to.
+        :param grace_s: time until the process is ended from outside.
+        """
+        started_s = clock.now_s()
+        self._log.emit(
+            Event.STOPPING,
+            callers=callers.in_flight,
+            forwarded=self._forwarded.in_flight,
+        )
+        callers.close_idle()
+        end_s = started_s + grace_s - _EXIT_RESERVE_S
+        now_s = started_s
+        while now_s < end_s:
+            self._refuse_more(now_s - started_s)
+            in_flight = callers.in_flight + self._forwarded.in_flight
+            if not in_flight and self._is_quiet(now_s - started_s, now_s):
+                break
+            await anyio.sleep(_POLL_S)
+            now_s = clock.now_s()
+        self._members.update_own(state=MemberState.LEFT)
+
+    def _refuse_more(self, elapsed_s: float) -> None:
+        """Refuse work of other daemons first, and that of callers later."""
+        if elapsed_s > _SERVE_PEERS_S and not self.is_leaving:
+            self.is_leaving = True
+            self._members.update_own(is_ready=False)
+            self._tell()
+        if elapsed_s > _REFUSE_AFTER_S:
+            self._proxy.is_refusing = True
+
+    def _is_quiet(self, elapsed_s: float, now_s: float) -> bool:
+        if elapsed_s < _CALLERS_GONE_S:
+            return False
+        return now_s - self._proxy.last_request_at_s > _QUIET_S
--- a/src/ragwortstand/http_server.py
+++ b/src/ragwortstand/http_server.py
@@ -63,13 +63,18 @@
 
 @dataclass(slots=True)
 class _Incoming:
-    """The parts of a request that is being read."""
+    """The parts of a request that is being read.
+
+    `header_bytes` counts what was read before the headers ended, and
+    `whole_bytes` the headers that are whole.
+    """
 
     since_s: float
     url: bytes = b''
     headers: list[Header] = field(default_factory=list)
     body: list[bytes] = field(default_factory=list)
     header_bytes: int = 0
+    whole_bytes: int = 0
     body_bytes: int = 0
     has_headers: bool = False
 
@@ -149,6 +154,7 @@
         self._incoming: _Incoming | None = None
         self._idle_since_s = clock.now_s()
         self._is_refused = False
+        self._has_completed = False
         self.exchanges: deque[_Exchange] = deque()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -166,16 +172,14 @@
         """Feed the parser."""
         if self._is_refused:
             return
-        incoming = self._incoming
-        if incoming and not incoming.has_headers:
-            incoming.header_bytes += len(data)
+        self._has_completed = False
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
             self._refuse(HTTPStatus.NOT_IMPLEMENTED)
         except httptools.HttpParserError:
             self._refuse(HTTPStatus.BAD_REQUEST)
-        self._check_header_size()
+        self._check_header_size(len(data))
 
     def on_message_begin(self) -> None:
         """Start to collect a request."""
@@ -191,7 +195,7 @@
         incoming = self._incoming
         if incoming:
             incoming.headers.append((name.lower(), value))
-            incoming.header_bytes += len(name) + len(value)
+            incoming.whole_bytes += len(name) + len(value)
 
     def on_headers_complete(self) -> None:
         """Check what the headers announce."""
@@ -202,7 +206,7 @@
         headers = dict(incoming.headers)
         announced = headers.get(b'content-length', b'0')
         limits = self._server.limits()
-        if incoming.header_bytes > limits.max_header_bytes:
+        if incoming.whole_bytes > limits.max_header_bytes:
             self._refuse(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
         elif announced.isdigit() and int(announced) > limits.max_body_bytes:
             self._refuse(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
@@ -224,6 +228,7 @@
         """Start to answer the request."""
         incoming = self._incoming
         self._incoming = None
+        self._has_completed = True
         if incoming is None or self._is_refused:
             return
         request = CallerRequest(
@@ -312,10 +317,16 @@
         self.exchanges.append(exchange)
         self._send_ready()
 
-    def _check_header_size(self) -> None:
+    def _check_header_size(self, read_bytes: int) -> None:
+        """Bound headers that have not ended with what was read.
+
+        Bytes that came together with the end of a request before are left
+        out, as part of them belongs to that one.
+        """
         incoming = self._incoming
-        if incoming is None or incoming.has_headers:
+        if incoming is None or incoming.has_headers or self._has_completed:
             return
+        incoming.header_bytes += read_bytes
         if incoming.header_bytes > self._server.limits().max_header_bytes:
             self._refuse(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
 
--- a/src/ragwortstand/peers/members.py
+++ b/src/ragwortstand/peers/members.py
@@ -55,6 +55,7 @@
         self.digest = _fingerprint(own)
         self.on_change: Callable[[Member], None] = _ignore
         self.on_refute: Callable[[], None] = _nothing
+        self.on_rumour: Callable[[Member], None] = _ignore
 
     @property
     def own(self) -> Member:
@@ -227,6 +228,7 @@
         return suspects > usable * _MASS_LOSS_SHARE
 
     def _refute(self, rumour: Member) -> None:
+        self.on_rumour(rumour)
         own = self.own
         is_newer = rumour.incarnation > own.incarnation
         is_wrong = rumour.state > own.state
--- a/src/ragwortstand/peers/messages.py
+++ b/src/ragwortstand/peers/messages.py
@@ -57,6 +57,8 @@
     :param is_ready: whether that backend server takes work.
     :param boot: random number of the daemon's process; 0 where it has none.
     :param store_reach: how well the daemon reaches the platform's store.
+    :param departed: backend server that left last, and its boot; a daemon
+        that restarts learns it from the others.
     """
 
     host: HostId
@@ -70,6 +72,7 @@
     is_ready: bool = False
     boot: int = 0
     store_reach: int = 0
+    departed: tuple[str, int] | None = None
 
 
 class Ping(_Message, frozen=True):
--- a/src/ragwortstand/peers/streams.py
+++ b/src/ragwortstand/peers/streams.py
@@ -314,6 +314,7 @@
     def __init__(self, listener: 'StreamListener') -> None:
         super().__init__(listener.max_message_bytes)
         self._listener = listener
+        listener.connections.add(self)
         self._tasks: set[asyncio.Task[None]] = set()
 
     def on_frame(self, kind: int, number: int, body: bytes) -> None:
@@ -326,6 +327,7 @@
             task.add_done_callback(self._tasks.discard)
 
     def connection_lost(self, exc: Exception | None) -> None:
+        self._listener.connections.discard(self)
         for task in self._tasks:
             task.cancel()
 
@@ -356,6 +358,7 @@
         self._log = log
         self._handler: Handler | None = None
         self.max_message_bytes = max_message_bytes
+        self.connections: set[_Accepted] = set()
 
     async def serve(self, listener: socket.socket, handler: Handler) -> None:
         """Answer requests until cancelled.
@@ -372,6 +375,8 @@
             await anyio.sleep_forever()
         finally:
             server.close()
+            for connection in tuple(self.connections):
+                connection.abort()
 
     async def answer(self, wire: bytes) -> Reply:
         """Return the reply to an encoded request.
--- a/src/ragwortstand/sidecar.py
+++ b/src/ragwortstand/sidecar.py
@@ -25,6 +25,7 @@
 from ragwortstand.callers.proxy import CallerDialect, Proxy
 from ragwortstand.callers.splits import WeightedSplits
 from ragwortstand.events import Event, EventLog
+from ragwortstand.graceful_stop import GracefulStop
 from ragwortstand.http_server import Answer, HttpServer
 from ragwortstand.ids import (
     Fingerprint,
@@ -52,7 +53,6 @@
 from ragwortstand.peers.messages import (
     CrashSuspects,
     Member,
-    MemberState,
     SuspectCleared,
 )
 from ragwortstand.peers.scopes import LinkScopes
@@ -72,16 +72,6 @@
 # gossip carries them on.
 _FANOUT = 100
 _EXPIRE_S = 0.5
-_STOP_POLL_S = 0.05
-# Readiness is asked for once a second, and two misses send callers elsewhere;
-# their last requests are under way for a little longer.
-_CALLERS_GONE_S = 2.6
-_QUIET_S = 0.3
-# New requests are refused this long after the signal; what began before has
-# the rest of the grace period.
-_REFUSE_AFTER_S = 3.0
-# Kept of the grace period for the exit itself.
-_EXIT_RESERVE_S = 1.2
 _TELL_TIMEOUT_S = 0.5
 _RESTART_S = 0.5
 _BOOT_BITS = 48
@@ -167,7 +157,7 @@
     async def run(self, ready: Answer, control: Answer) -> None:
         """Serve until told to stop, then leave in order.
 
-        :param ready: answers questions for readiness.
+        :param ready: answers questions for readiness and for metrics.
         :param control: answers the backend server's announcements.
         """
         daemon = self._settings.daemon
@@ -185,6 +175,7 @@
             self._serve(self._callers, daemon.callers, tasks)
             for answer, listen in (
                 (ready, self._settings.ready),
+                (ready, self._settings.metrics),
                 (control, self._settings.control),
             ):
                 server = HttpServer(answer, self._limits, self._log)
@@ -192,7 +183,8 @@
             self._start(tasks)
             self._log.emit(Event.LISTENING, boot=self._boot)
             await self._stopping.wait()
-            await self._leave()
+            await self._stop.run(self._callers, self._settings.grace_s)
+            await self._spread_soon()
             tasks.cancel_scope.cancel()
         self._links.close()
         self._log.emit(Event.STOPPED, exit=0)
@@ -254,6 +246,7 @@
         )
         self._members = Members(own, daemon.membership, clock.now_s())
         self._members.on_change = self._on_member
+        self._members.on_rumour = self._on_rumour
         self._scopes = LinkScopes(self._members)
         max_message_bytes = _MESSAGE_OVERHEAD_BYTES + max(
             daemon.limits.max_request_bytes, daemon.limits.max_answer_bytes
@@ -346,10 +339,17 @@
             self._backend_server,
             self._backend_server.load,
             self._snapshot,
-            self._stopping.is_set,
+            lambda: self._stop.is_leaving,
             self._boot,
             self._log,
         )
+        self._stop = GracefulStop(
+            self._proxy,
+            self._forwarded,
+            self._members,
+            self._spawn_spread,
+            self._log,
+        )
         self._handlers = PeerHandlers(
             self._gossip,
             self._distributor,
@@ -402,34 +402,6 @@
             await anyio.sleep(_EXPIRE_S)
             self._backend_server.expire(clock.now_s())
 
-    async def _leave(self) -> None:
-        """Finish what is under way while callers are sent elsewhere."""
-        started_s = clock.now_s()
-        self._log.emit(
-            Event.STOPPING,
-            callers=self._callers.in_flight,
-            forwarded=self._forwarded.in_flight,
-        )
-        self._members.update_own(is_ready=False)
-        self._spawn_spread()
-        self._callers.close_idle()
-        end_s = started_s + self._settings.grace_s - _EXIT_RESERVE_S
-        now_s = started_s
-        while now_s < end_s and not self._is_quiet(now_s - started_s, now_s):
-            await anyio.sleep(_STOP_POLL_S)
-            now_s = clock.now_s()
-            if now_s - started_s > _REFUSE_AFTER_S:
-                self._proxy.is_refusing = True
-        self._members.update_own(state=MemberState.LEFT)
-        await self._spread_soon()
-
-    def _is_quiet(self, elapsed_s: float, now_s: float) -> bool:
-        if elapsed_s < _CALLERS_GONE_S:
-            return False
-        if self._callers.in_flight or self._forwarded.in_flight:
-            return False
-        return now_s - self._proxy.last_request_at_s > _QUIET_S
-
     async def _on_crash(self, suspects: tuple[Fingerprint, ...]) -> None:
         await self._tell_service(CrashSuspects(suspects))
 
@@ -462,10 +434,18 @@
         self._members.update_own(
             service=announcement.service if announcement else None,
             slots=announcement.slots if announcement else 0,
-            is_ready=is_ready and not self._stopping.is_set(),
+            is_ready=is_ready and not self._stop.is_leaving,
+            departed=self._backend_server.last_departed,
         )
         self._spawn_spread()
 
+    def _on_rumour(self, rumour: Member) -> None:
+        """Learn from the others which backend server left before a restart."""
+        known = self._backend_server.last_departed
+        if rumour.departed and rumour.departed != known and not known:
+            self._backend_server.depart(*rumour.departed)
+            self._members.update_own(departed=rumour.departed)
+
     async def _spread_soon(self) -> None:
         with anyio.move_on_after(_SPREAD_TIMEOUT_S):
             await self._gossip.tell_own()
--- /dev/null
+++ b/tests/test_enrolment.py
@@ -0,0 +1,123 @@
+"""How daemons meet through the platform's table."""
+
+import random
+import unittest
+
+import anyio
+import msgspec
+
+from ragwortstand.events import Event
+from ragwortstand.ids import HostId, PeerAddress
+from ragwortstand.peers.enrolment import Enrolment
+from ragwortstand.peers.members import Members
+from ragwortstand.peers.messages import MemberState
+from ragwortstand.settings import MembershipSettings
+from ragwortstand.storage import EntryPoint
+from ragwortstand.storage.table import Transaction, Write
+from tests.fakes import FakePlatform, ListLog, member
+
+
+class _Gossip:
+    """Notes which daemons are joined."""
+
+    def __init__(self) -> None:
+        self.joined: list[PeerAddress] = []
+
+    async def join(self, address: PeerAddress) -> bool:
+        self.joined.append(address)
+        return True
+
+
+class _Base(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        """Start alone."""
+        self.platform = FakePlatform()
+        self.log = ListLog()
+        self.gossip = _Gossip()
+        own = member('own')
+        self.members = Members(own, MembershipSettings(), 0.0)
+        self.seeds: tuple[PeerAddress, ...] = ()
+
+    async def _run(self, seconds: float = 0.6) -> None:
+        enrolment = Enrolment(
+            self.members,
+            self.gossip,  # type: ignore[arg-type]
+            self.platform,
+            'c',
+            self.seeds,
+            self.log,
+            random.Random(1),
+        )
+        with anyio.move_on_after(seconds):
+            await enrolment.run()
+
+    def _put(self, name: str, text: str | None = None) -> None:
+        found = member(name)
+        row = EntryPoint('c', found.host, found.peer_address, 0.0)
+        content = text or msgspec.json.encode(row).decode()
+        write = Write(f'member/c/{name}', content)
+        self.platform.table.transact(Transaction((), (write,)))
+
+    def _hosts(self) -> list[str]:
+        rows = self.platform.table.scan('member/c/', 100)
+        return [row.key.rpartition('/')[2] for row in rows]
+
+
+class StartTests(_Base):
+    """A daemon that starts."""
+
+    async def test_writes_its_row_and_joins_the_others(self) -> None:
+        self._put('b')
+        await self._run()
+        self.assertEqual(self._hosts(), ['b', 'own'])
+        self.assertEqual(self.gossip.joined, [member('b').peer_address])
+
+    async def test_joins_a_few_of_many(self) -> None:
+        for number in range(30):
+            self._put(f'h{number}')
+        await self._run()
+        self.assertEqual(len(self.gossip.joined), 4)
+
+    async def test_rows_that_cannot_be_read_are_told(self) -> None:
+        self._put('b')
+        self._put('c', 'not json')
+        await self._run()
+        self.assertEqual(self.gossip.joined, [member('b').peer_address])
+        self.assertIn(Event.ROW_REFUSED, self.log.events)
+
+    async def test_seeds_serve_while_the_store_is_out(self) -> None:
+        self.platform.is_out = True
+        self.seeds = (PeerAddress('tcp://seed:1'),)
+        await self._run()
+        self.assertEqual(self.gossip.joined, ['tcp://seed:1'])
+        self.assertIn(Event.PLATFORM_OUTAGE, self.log.events)
+
+    async def test_row_is_written_when_the_store_is_back(self) -> None:
+        self.platform.is_out = True
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._run, 2.0)
+            await anyio.sleep(0.5)
+            self.platform.is_out = False
+        self.assertEqual(self._hosts(), ['own'])
+
+
+class KeeperTests(_Base):
+    """A member that looks after the rows."""
+
+    async def test_restores_rows_that_were_lost(self) -> None:
+        self.members.merge([member('b')], 0.0)
+        await self._run()
+        self.assertEqual(self._hosts(), ['b', 'own'])
+
+    async def test_departed_members_need_no_row(self) -> None:
+        gone = member('b', state=MemberState.LEFT)
+        self.members.merge([gone], 0.0)
+        await self._run()
+        self.assertEqual(self._hosts(), ['own'])
+
+    async def test_address_of_a_host_that_changed_is_joined(self) -> None:
+        self.members.merge([member('b')], 0.0)
+        row = EntryPoint('c', HostId('b'), PeerAddress('tcp://b:2'), 0.0)
+        self._put('b', msgspec.json.encode(row).decode())
+        await self._run()
+        self.assertEqual(self.gossip.joined, ['tcp://b:2'])
--- /dev/null
+++ b/tests/test_goal_choice.py
@@ -0,0 +1,148 @@
+"""Where requests go: near first, around what is slow, full or failing."""
+
+import random
+import unittest
+from collections import Counter
+
+from ragwortstand.backend_servers import Load
+from ragwortstand.ids import HostId, RegionName, ZoneName
+from ragwortstand.models import Rank
+from ragwortstand.peers.choice import Place
+from ragwortstand.peers.goal_choice import GoalChoice
+from ragwortstand.verdicts import (
+    Answered,
+    Cause,
+    Outcome,
+    Refused,
+    Unknown,
+)
+from tests.fakes import member
+
+_RANK = Rank(name='lookup', target_s=0.25)
+_NEAR = member('near', zone='a1', region='a')
+_BESIDE = member('beside', zone='a2', region='a')
+_FAR = member('far', zone='b1', region='b')
+_ALL = (_NEAR, _BESIDE, _FAR)
+_SERVED = Answered(200, (), b'')
+_FULL = Refused(Cause.OVERLOADED, 0.1)
+
+
+class _Base(unittest.TestCase):
+    def setUp(self) -> None:
+        """Choose from a host of the first availability zone."""
+        self.choice = GoalChoice(
+            Place(HostId('own'), ZoneName('a1'), RegionName('a')),
+            lambda now_s: Load(10, 0, 0),
+            random.Random(1),
+        )
+
+    def _finish(
+        self,
+        host: str,
+        outcome: Outcome = _SERVED,
+        busy: float = 0.3,
+        taken_s: float = 0.08,
+        at_s: float = 0.0,
+    ) -> None:
+        self.choice.started(HostId(host), _RANK)
+        self.choice.finished(HostId(host), _RANK, outcome, busy, taken_s, at_s)
+
+    def _chosen(self, now_s: float, tried=()) -> Counter[str]:
+        found: Counter[str] = Counter()
+        for _ in range(20):
+            picked = self.choice.choose(_ALL, _RANK, tried, now_s)
+            found[picked.host if picked else ''] += 1
+        return found
+
+
+class NearFirstTests(_Base):
+    """A calm day: requests stay in their availability zone."""
+
+    def test_stays_in_the_zone(self) -> None:
+        self.assertEqual(self._chosen(0), {'near': 20})
+
+    def test_tried_hosts_are_left_out(self) -> None:
+        tried = [HostId('near')]
+        self.assertEqual(self._chosen(0, tried), {'beside': 20})
+
+    def test_two_servers_of_the_zone_share(self) -> None:
+        members = (_NEAR, member('newcomer', zone='a1', region='a'))
+        found = Counter(
+            picked.host
+            for _ in range(100)
+            if (picked := self.choice.choose(members, _RANK, (), 0))
+        )
+        self.assertGreater(min(found.values()), 20)
+
+
+class ZoneBurstTests(_Base):
+    """One availability zone is flooded; others have room."""
+
+    def test_full_zone_spills_to_the_region_first(self) -> None:
+        self._finish('near', _FULL, busy=2.5)
+        self.assertEqual(self._chosen(0.01), {'beside': 20})
+
+    def test_returns_to_the_zone_soon(self) -> None:
+        self._finish('near', _FULL, busy=2.5)
+        self.assertEqual(self._chosen(1.1), {'near': 20})
+
+    def test_large_requests_do_not_cross_regions(self) -> None:
+        self.choice.weigh(_RANK, 10_000)
+        for host in ('near', 'beside'):
+            self._finish(host, taken_s=0.24, busy=1)
+        self.assertEqual(self._chosen(0.01)['far'], 0)
+
+    def test_small_requests_may(self) -> None:
+        self.choice.weigh(_RANK, 100)
+        for host in ('near', 'beside'):
+            self._finish(host, _FULL, busy=2.5)
+        self.assertEqual(self._chosen(0.01), {'far': 20})
+
+
+class SlowServerTests(_Base):
+    """A server answers late while its load is low."""
+
+    def test_requests_go_around_it(self) -> None:
+        for _ in range(5):
+            self._finish('near', taken_s=0.4)
+        self.assertEqual(self._chosen(0.01), {'beside': 20})
+
+
+class GreyServerTests(_Base):
+    """A server fails half of its requests at once."""
+
+    def test_requests_go_around_it(self) -> None:
+        for number in range(12):
+            failed = Refused(Cause.REJECTED, 0.1)
+            self._finish('near', failed if number % 2 else _SERVED)
+        self.assertEqual(self._chosen(0.01), {'beside': 20})
+
+    def test_it_is_tried_again_later(self) -> None:
+        for _ in range(12):
+            self._finish('near', Answered(500, (), b''))
+        self.assertEqual(self._chosen(0.01)['near'], 0)
+        self.assertEqual(self._chosen(4), {'near': 20})
+
+
+class UnreachableTests(_Base):
+    """Hosts that can't be reached are left alone for a while."""
+
+    def test_blocked_then_tried_again(self) -> None:
+        self._finish('near', Refused(Cause.PEER_UNREACHABLE))
+        self.assertEqual(self._chosen(0.1), {'beside': 20})
+        self.assertEqual(self._chosen(0.4), {'near': 20})
+
+    def test_pauses_grow(self) -> None:
+        for _ in range(3):
+            self._finish('near', Unknown(Cause.PEER_UNREACHABLE))
+        self.assertEqual(self._chosen(1.0), {'beside': 20})
+
+    def test_nothing_is_chosen_where_all_are_blocked(self) -> None:
+        for host in ('near', 'beside', 'far'):
+            self._finish(host, Refused(Cause.BACKEND_SERVER_DOWN))
+        self.assertEqual(self._chosen(0.1), {'': 20})
+
+    def test_new_process_starts_afresh(self) -> None:
+        self._finish('near', Refused(Cause.LEAVING))
+        self.choice.forget(HostId('near'))
+        self.assertEqual(self._chosen(0.01), {'near': 20})
--- /dev/null
+++ b/tests/test_http_server.py
@@ -0,0 +1,204 @@
+"""Tests of the HTTP server for callers, over loopback."""
+
+import unittest
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import anyio
+from anyio.abc import SocketStream
+
+from ragwortstand.http_server import CallerRequest, HttpServer
+from ragwortstand.models import CallerLimits
+from ragwortstand.verdicts import Answered
+from tests.fakes import ListLog
+from tests.servers import running_http
+
+_LIMITS = CallerLimits(
+    max_header_bytes=512,
+    max_body_bytes=100,
+    header_timeout_s=0.2,
+    idle_timeout_s=0.3,
+)
+_CLOSE = b'connection: close'
+
+
+class _Server:
+    """Answers with the target.
+
+    `/slow` takes a while, and `/waits` waits for a request for `/last`.
+    """
+
+    def __init__(self) -> None:
+        self.requests: list[CallerRequest] = []
+        self.cancelled = 0
+        self.last = anyio.Event()
+        self.http = HttpServer(self.answer, lambda: _LIMITS, ListLog())
+
+    async def answer(self, request: CallerRequest) -> Answered:
+        self.requests.append(request)
+        try:
+            if request.target.startswith('/slow'):
+                await anyio.sleep(0.2)
+            if request.target == '/waits':
+                await self.last.wait()
+            if request.target == '/last':
+                self.last.set()
+        except BaseException:
+            self.cancelled += 1
+            raise
+        if request.target == '/fails':
+            raise RuntimeError('no')
+        return Answered(200, ((b'x-a', b'b'),), request.target.encode())
+
+
+@asynccontextmanager
+async def _connected() -> AsyncIterator[tuple[_Server, SocketStream]]:
+    server = _Server()
+    async with (
+        running_http(server.http) as port,
+        await anyio.connect_tcp('127.0.0.1', port) as stream,
+    ):
+        yield server, stream
+
+
+async def _read(stream: SocketStream, marks: int, mark: bytes) -> bytes:
+    """Read until a mark has come a number of times, or the end."""
+    found = b''
+    with anyio.fail_after(3):
+        while found.count(mark) < marks:
+            try:
+                found += await stream.receive()
+            except (anyio.EndOfStream, anyio.BrokenResourceError):
+                return found
+    return found
+
+
+def _get(target: bytes, *headers: bytes) -> bytes:
+    lines = (b'GET %b HTTP/1.1' % target, b'host: h', *headers)
+    return b'\r\n'.join(lines) + b'\r\n\r\n'
+
+
+class AnswerTests(unittest.IsolatedAsyncioTestCase):
+    """Requests and answers of kept connections."""
+
+    async def test_request_is_passed_on_as_sent(self) -> None:
+        async with _connected() as (server, stream):
+            await stream.send(
+                b'POST /a%20b?q=1 HTTP/1.1\r\nX-One: 1\r\n'
+                b'transfer-encoding: chunked\r\n\r\n'
+                b'3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n',
+            )
+            await _read(stream, 1, b'/a%20b?q=1')
+            request = server.requests[0]
+            self.assertEqual(request.method, 'POST')
+            self.assertEqual(request.target, '/a%20b?q=1')
+            self.assertEqual(request.body, b'abcde')
+            self.assertIn((b'x-one', b'1'), request.headers)
+
+    async def test_connection_is_kept(self) -> None:
+        async with _connected() as (_, stream):
+            for target in (b'/one', b'/two'):
+                await stream.send(_get(target))
+                self.assertNotIn(_CLOSE, await _read(stream, 1, target))
+
+    async def test_connection_ends_when_the_caller_asks(self) -> None:
+        async with _connected() as (_, stream):
+            await stream.send(_get(b'/one', _CLOSE))
+            found = await _read(stream, 99, b'never')
+            self.assertIn(b'200 OK', found)
+            self.assertIn(_CLOSE, found)
+
+    async def test_failure_of_the_handler_is_told(self) -> None:
+        async with _connected() as (_, stream):
+            await stream.send(_get(b'/fails'))
+            self.assertIn(b' 500 ', await _read(stream, 1, b'\r\n\r\n'))
+
+    async def test_head_has_no_body(self) -> None:
+        async with _connected() as (_, stream):
+            await stream.send(_get(b'/abc', _CLOSE).replace(b'GET', b'HEAD'))
+            found = await _read(stream, 99, b'never')
+            self.assertIn(b'content-length: 4', found)
+            self.assertTrue(found.endswith(b'\r\n\r\n'))
+
+
+class PipelineTests(unittest.IsolatedAsyncioTestCase):
+    """Requests sent before the first is answered."""
+
+    async def test_run_side_by_side_and_answer_in_order(self) -> None:
+        async with _connected() as (_, stream):
+            await stream.send(_get(b'/waits') + _get(b'/fast') + _get(b'/last'))
+            found = await _read(stream, 1, b'/last')
+            order = [
+                found.index(name) for name in (b'/waits', b'/fast', b'/last')
+            ]
+            self.assertEqual(order, sorted(order))
+
+    async def test_closing_server_answers_all_before_the_end(self) -> None:
+        async with _connected() as (server, stream):
+            await stream.send(_get(b'/slow1') + _get(b'/slow2'))
+            await anyio.sleep(0.05)
+            server.http.close_idle()
+            found = await _read(stream, 99, b'never')
+            self.assertEqual(found.count(b'200 OK'), 2)
+            self.assertEqual(found.count(_CLOSE), 1)
+            self.assertLess(found.index(b'/slow1'), found.index(_CLOSE))
+
+
+class CallerGoneTests(unittest.IsolatedAsyncioTestCase):
+    """Callers that close their connection."""
+
+    async def test_request_is_cancelled(self) -> None:
+        async with _connected() as (server, stream):
+            await stream.send(_get(b'/slow'))
+            await anyio.sleep(0.05)
+            await stream.aclose()
+            await anyio.sleep(0.05)
+            self.assertEqual(server.cancelled, 1)
+
+
+class LimitTests(unittest.IsolatedAsyncioTestCase):
+    """Requests beyond the bounds."""
+
+    async def _status(self, request: bytes) -> bytes:
+        async with _connected() as (server, stream):
+            await stream.send(request)
+            found = await _read(stream, 99, b'never')
+            self.assertEqual(server.requests, [])
+            return found.split(b' ')[1] if found else b''
+
+    async def test_headers_too_large(self) -> None:
+        request = _get(b'/a', b'x: ' + b'y' * 600)
+        self.assertEqual(await self._status(request), b'431')
+
+    async def test_headers_without_an_end(self) -> None:
+        request = b'GET /a HTTP/1.1\r\nx: ' + b'y' * 600
+        self.assertEqual(await self._status(request), b'431')
+
+    async def test_announced_body_too_large(self) -> None:
+        request = _get(b'/a', b'content-length: 101')
+        self.assertEqual(await self._status(request), b'413')
+
+    async def test_chunked_body_too_large(self) -> None:
+        request = _get(b'/a', b'transfer-encoding: chunked')
+        request += b'80\r\n' + b'z' * 128 + b'\r\n'
+        self.assertEqual(await self._status(request), b'413')
+
+    async def test_bytes_that_are_no_request(self) -> None:
+        self.assertEqual(await self._status(b'\x16\x03\x01\r\n\r\n'), b'400')
+
+    async def test_length_and_chunks_at_once_are_refused(self) -> None:
+        request = _get(
+            b'/a', b'content-length: 4', b'transfer-encoding: chunked'
+        )
+        request += b'0\r\n\r\nGET /b HTTP/1.1\r\n\r\n'
+        self.assertEqual(await self._status(request), b'400')
+
+    async def test_slow_headers(self) -> None:
+        status = await self._status(b'GET /a HTTP/1.1\r\n')
+        self.assertEqual(status, b'408')
+
+    async def test_idle_connections_end(self) -> None:
+        async with _connected() as (_, stream):
+            await stream.send(_get(b'/one'))
+            found = await _read(stream, 99, b'never')
+            self.assertIn(b'200 OK', found)
--- /dev/null
+++ b/tests/test_platform_control.py
@@ -0,0 +1,203 @@
+"""Tests of heartbeats, leaving and readiness, without a network."""
+
+import json
+import unittest
+
+from ragwortstand.backend_servers import (
+    Announcement,
+    BackendServer,
+    BackendState,
+)
+from ragwortstand.backend_servers.goals import GoalAdmission
+from ragwortstand.events import Event
+from ragwortstand.http_server import CallerRequest
+from ragwortstand.platform.control import ControlApi, ReadyApi
+from ragwortstand.settings import (
+    AdminSettings,
+    DaemonSettings,
+    PlatformSettings,
+)
+from tests.fakes import ListLog
+
+_ADDRESS = '10.1.0.41:8628'
+_BEAT = {
+    'service': 'huvo',
+    'address': _ADDRESS,
+    'zone': 'dfw-a',
+    'version': 'v1',
+    'capacity': 12,
+    'state': 'ready',
+    'coldLeftMs': 500,
+    'seq': 4,
+    'born': 1000,
+}
+_SETTINGS = DaemonSettings(
+    cluster='c',
+    host='h',
+    region='r',
+    availability_zone='z',
+    admin=AdminSettings(token='0123456789abcdef'),
+    platform=PlatformSettings(url='http://s', region='r'),
+)
+
+
+class _Announced:
+    """Passes on to a backend server."""
+
+    def __init__(self) -> None:
+        self.server = BackendServer(
+            _SETTINGS, ListLog(), admission=GoalAdmission()
+        )
+        self.announcements: list[Announcement] = []
+        self.now_s = 0.0
+
+    async def announce(self, announcement: Announcement) -> None:
+        self.announcements.append(announcement)
+        await self.server.announce(announcement, self.now_s)
+
+    async def depart(self, instance: str, boot: int) -> None:
+        self.server.depart(instance, boot)
+
+
+class _Base(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        """Start without a backend server."""
+        self.announced = _Announced()
+        self.log = ListLog()
+        self.api = ControlApi(self.announced, _ADDRESS, self.log)
+
+    async def _beat(self, instance: str = 'i-1', **changes) -> int:
+        return await self._post(
+            f'/api/instances/{instance}/heartbeat',
+            json.dumps({**_BEAT, **changes}).encode(),
+        )
+
+    async def _leave(self, instance: str = 'i-1', body: bytes = b'') -> int:
+        path = f'/api/instances/{instance}/deregister'
+        return await self._post(path, body)
+
+    async def _post(self, path: str, body: bytes) -> int:
+        request = CallerRequest('POST', path, (), body, 0.0)
+        return (await self.api.answer(request)).status
+
+    @property
+    def _state(self) -> BackendState:
+        return self.announced.server.state
+
+
+class HeartbeatTests(_Base):
+    """What a heartbeat says."""
+
+    async def test_becomes_an_announcement(self) -> None:
+        self.assertEqual(await self._beat(), 200)
+        found = self.announced.announcements[0]
+        self.assertEqual((found.address, found.port), ('10.1.0.41', 8628))
+        self.assertEqual(found.slots, 12)
+        self.assertEqual((found.boot, found.sequence), (1000, 4))
+        self.assertEqual(found.cold_s, 0.5)
+        self.assertIs(self._state, BackendState.READY)
+
+    async def test_other_writers_name_no_server(self) -> None:
+        await self._beat()
+        for changes in (
+            {'state': 'confused'},
+            {'capacity': 'many'},
+            {'capacity': 0},
+            {'service': 5},
+            {'service': ''},
+            {'seq': None},
+            {'born': 'today'},
+            {'address': '10.9.9.9:1'},
+            {'address': 'here'},
+        ):
+            self.assertEqual(await self._beat('i-2', **changes), 400)
+        self.assertEqual(len(self.announced.announcements), 1)
+        self.assertIs(self._state, BackendState.READY)
+        self.assertEqual(self.log.events.count(Event.ANNOUNCEMENT_REFUSED), 9)
+
+    async def test_unknown_calls(self) -> None:
+        for path in ('/api/instances/', '/api/instances/i-1/dance', '/x'):
+            self.assertEqual(await self._post(path, b'{}'), 404)
+
+
+class OrderTests(_Base):
+    """Heartbeats that come late or from an earlier start."""
+
+    async def test_delayed_word_of_one_boot_changes_nothing(self) -> None:
+        await self._beat(seq=9, state='draining')
+        await self._beat(seq=8)
+        self.assertIs(self._state, BackendState.DRAINING)
+
+    async def test_draining_boot_does_not_come_back(self) -> None:
+        await self._beat(seq=9, state='draining')
+        await self._beat(seq=10)
+        self.assertIs(self._state, BackendState.DRAINING)
+
+    async def test_earlier_boot_changes_nothing(self) -> None:
+        await self._beat('i-2', born=2000)
+        await self._beat('i-1', born=1000, seq=99, service='kafi')
+        self.assertEqual(self.announced.server.service, 'huvo')
+
+    async def test_new_boot_under_the_old_id(self) -> None:
+        await self._beat(seq=9, state='draining')
+        await self._beat(born=2000, seq=1)
+        self.assertIs(self._state, BackendState.READY)
+
+    async def test_address_taken_by_another_service(self) -> None:
+        await self._beat()
+        await self._beat('i-2', born=2000, seq=1, service='kafi')
+        self.assertEqual(self.announced.server.service, 'kafi')
+
+
+class LeavingTests(_Base):
+    """Deregistration without draining first."""
+
+    async def test_binds_at_once_and_for_good(self) -> None:
+        await self._beat()
+        self.assertEqual(await self._leave(), 200)
+        self.assertIs(self._state, BackendState.DRAINING)
+        await self._beat(seq=50)
+        self.assertIs(self._state, BackendState.DRAINING)
+
+    async def test_of_a_boot_that_is_gone_leaves_the_new_one(self) -> None:
+        await self._beat(born=2000)
+        await self._leave(body=b'{"born": 1000}')
+        self.assertIs(self._state, BackendState.READY)
+
+    async def test_before_any_heartbeat(self) -> None:
+        await self._leave(body=b'{"born": 1000}')
+        await self._beat()
+        self.assertIs(self._state, BackendState.ABSENT)
+
+    async def test_unreadable(self) -> None:
+        await self._beat()
+        self.assertEqual(await self._leave(body=b'{'), 400)
+        self.assertIs(self._state, BackendState.READY)
+
+    async def test_a_restarted_daemon_hears_it_from_its_peers(self) -> None:
+        await self._beat(seq=9, state='draining')
+        departed = self.announced.server.last_departed
+        assert departed is not None
+        again = _Announced()
+        again.server.depart(*departed)
+        api = ControlApi(again, _ADDRESS, self.log)
+        body = json.dumps({**_BEAT, 'seq': 8}).encode()
+        path = '/api/instances/i-1/heartbeat'
+        await api.answer(CallerRequest('POST', path, (), body, 0.0))
+        self.assertIs(again.server.state, BackendState.ABSENT)
+
+
+class ReadyTests(unittest.IsolatedAsyncioTestCase):
+    """Readiness and metrics."""
+
+    async def test_follows_the_sidecar(self) -> None:
+        states = iter((True, False))
+        api = ReadyApi(lambda: next(states), lambda: b'metrics')
+        request = CallerRequest('GET', '/api/ready', (), b'', 0.0)
+        self.assertEqual((await api.answer(request)).status, 200)
+        self.assertEqual((await api.answer(request)).status, 503)
+
+    async def test_metrics(self) -> None:
+        api = ReadyApi(lambda: True, lambda: b'metrics')
+        request = CallerRequest('GET', '/metrics', (), b'', 0.0)
+        self.assertEqual((await api.answer(request)).body, b'metrics')
--- /dev/null
+++ b/tests/test_shared_budget.py
@@ -0,0 +1,155 @@
+"""Retries within a budget that all daemons share."""
+
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from ragwortstand.calls import Call
+from ragwortstand.ids import RequestId, Version
+from ragwortstand.models import Rank, Service
+from ragwortstand.peers.shared_budget import RetryTerms, SharedBudgetRetries
+from ragwortstand.verdicts import (
+    Answered,
+    Cause,
+    Outcome,
+    Refused,
+    Unknown,
+)
+
+_TERMS = RetryTerms(ratio=0.2, slack=60, window_s=10)
+_LOST = Unknown(Cause.CONNECTION_LOST)
+_CALL_RANK = Rank(name='call', target_s=0.06)
+_WORK_RANK = Rank(name='work', target_s=0.25)
+
+
+def _call(
+    *,
+    is_idempotent: bool = True,
+    began_at_s: float = 0.0,
+    rank: Rank = _WORK_RANK,
+    max_attempts: int | None = None,
+) -> Call:
+    return Call(
+        request_id=RequestId('r'),
+        method='GET',
+        target='/',
+        headers=(),
+        body=b'',
+        service=Service(name='s'),
+        rank=rank,
+        is_idempotent=is_idempotent,
+        deadline_s=began_at_s + 1.5,
+        version=Version(1),
+        goal_s=began_at_s + rank.target_s,
+        max_attempts=max_attempts,
+        began_at_s=began_at_s,
+    )
+
+
+def _allows(
+    retries: SharedBudgetRetries,
+    outcome: Outcome,
+    now_s: float = 0.01,
+    **options,
+) -> bool:
+    return retries.allows(_call(**options), outcome, now_s)
+
+
+class VerdictTests(unittest.TestCase):
+    """What may be tried again at all."""
+
+    def setUp(self) -> None:
+        """Share with nobody."""
+        self.retries = SharedBudgetRetries(_TERMS, lambda: 1)
+
+    def test_lost_answers_only_of_idempotent_requests(self) -> None:
+        self.assertTrue(_allows(self.retries, _LOST))
+        self.assertFalse(_allows(self.retries, _LOST, is_idempotent=False))
+
+    def test_what_did_not_run_goes_elsewhere(self) -> None:
+        for cause in (Cause.OVERLOADED, Cause.REJECTED, Cause.LEAVING):
+            refused = Refused(cause)
+            self.assertTrue(_allows(self.retries, refused, is_idempotent=False))
+
+    def test_failures_of_idempotent_requests(self) -> None:
+        failed, found = Answered(500, (), b''), Answered(404, (), b'')
+        self.assertTrue(_allows(self.retries, failed))
+        self.assertFalse(_allows(self.retries, found))
+        self.assertFalse(_allows(self.retries, failed, is_idempotent=False))
+
+    def test_quarantine_and_deadline_are_final(self) -> None:
+        for outcome in (
+            Refused(Cause.QUARANTINED),
+            Unknown(Cause.DEADLINE),
+            Refused(Cause.CALLER_GONE),
+        ):
+            self.assertFalse(_allows(self.retries, outcome))
+
+    def test_attempts_of_the_route(self) -> None:
+        call = _call(max_attempts=1)
+        self.assertFalse(self.retries.allows(call, _LOST, 0.01))
+        call = _call(max_attempts=2)
+        self.assertTrue(self.retries.allows(call, _LOST, 0.01))
+        call.attempt = 2
+        self.assertFalse(self.retries.allows(call, _LOST, 0.02))
+
+    def test_search_for_a_free_server_ends_early(self) -> None:
+        full = Refused(Cause.OVERLOADED)
+        self.assertTrue(_allows(self.retries, full, now_s=0.02))
+        self.assertFalse(_allows(self.retries, full, now_s=0.04))
+
+
+class GreyServersTests(unittest.TestCase):
+    """All servers of a service reject more than half of their requests."""
+
+    def test_calls_get_what_is_left_of_the_budget(self) -> None:
+        retries = SharedBudgetRetries(_TERMS, lambda: 1)
+        rejected = Refused(Cause.REJECTED)
+        _allows(retries, Answered(200, (), b''), rank=_CALL_RANK)
+        work = sum(_allows(retries, rejected) for _ in range(100))
+        calls = sum(
+            _allows(retries, rejected, rank=_CALL_RANK) for _ in range(100)
+        )
+        self.assertGreater(work, 10)
+        self.assertGreater(calls, work - 2)
+
+
+class SharedBudgetTests(unittest.TestCase):
+    """The sum over all daemons in any window."""
+
+    @settings(max_examples=60, deadline=None)
+    @given(
+        daemons=st.integers(1, 30),
+        gaps=st.lists(st.floats(0, 0.5), min_size=20, max_size=300),
+        failing=st.randoms(use_true_random=False),
+    )
+    def test_never_more_than_agreed(self, daemons, gaps, failing) -> None:
+        fleet = _fleet(daemons)
+        requests: list[float] = []
+        retried: list[float] = []
+        now_s = 0.0
+        for gap_s in gaps:
+            now_s += gap_s
+            for retries in fleet:
+                requests.append(now_s)
+                outcome = failing.choice(_MOSTLY_LOST)
+                call = _call(began_at_s=now_s)
+                if retries.allows(call, outcome, now_s):
+                    retried.append(now_s)
+        for start_s in retried:
+            end_s = start_s + _TERMS.window_s
+            inside = sum(start_s <= at_s <= end_s for at_s in retried)
+            first_s = start_s - _TERMS.window_s
+            owed = sum(first_s <= at_s <= end_s for at_s in requests)
+            self.assertLessEqual(inside, _TERMS.ratio * owed + _TERMS.slack)
+
+
+def _fleet(daemons: int) -> list[SharedBudgetRetries]:
+    def count() -> int:
+        return daemons
+
+    return [SharedBudgetRetries(_TERMS, count) for _ in range(daemons)]
+
+
+_MOSTLY_LOST = (_LOST, _LOST, _LOST, Answered(200, (), b''))
--- /dev/null
+++ b/tests/test_streams.py
@@ -0,0 +1,293 @@
+"""Tests of the plain links between daemons and of forwarded work."""
+
+import asyncio
+import unittest
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+
+import anyio
+
+from ragwortstand import clock
+from ragwortstand.backend_servers import Load
+from ragwortstand.calls import Call
+from ragwortstand.events import Event
+from ragwortstand.exceptions import PeerError
+from ragwortstand.ids import HostId, PeerAddress, RequestId, Version
+from ragwortstand.metrics import Metrics
+from ragwortstand.models import Rank, Service
+from ragwortstand.peers.forwarding import ForwardedWork, Forwarder
+from ragwortstand.peers.messages import (
+    Applied,
+    AskApplied,
+    CancelWork,
+    Done,
+    Member,
+    Reply,
+    Request,
+    Work,
+)
+from ragwortstand.peers.streams import StreamLinks, StreamListener
+from ragwortstand.sockets import bind, port_of
+from ragwortstand.verdicts import (
+    Answered,
+    Cause,
+    Outcome,
+    Refused,
+    Unknown,
+    Verdict,
+)
+from tests.fakes import ListLog, member
+
+_LIMIT_BYTES = 100_000
+_BOOT = 7
+
+
+class _Runner:
+    """Runs requests; counts them."""
+
+    def __init__(self) -> None:
+        self.ran: list[str] = []
+        self.cancelled = 0
+        self.delay_s = 0.0
+
+    async def run(self, call: Call) -> Outcome:
+        self.ran.append(call.request_id)
+        call.is_dispatched = True
+        try:
+            await anyio.sleep(self.delay_s)
+        except BaseException:
+            self.cancelled += 1
+            raise
+        return Answered(200, (), call.body)
+
+
+class _Peer:
+    """A daemon that runs forwarded work."""
+
+    def __init__(self) -> None:
+        self.log = ListLog()
+        self.runner = _Runner()
+        self.boot = _BOOT
+        self.is_leaving = False
+        self.before: Callable[[Request], Awaitable[None]] | None = None
+        self.work = self._new_work()
+        self.listener = StreamListener('c', _LIMIT_BYTES, Metrics(), self.log)
+        self.socket = bind('127.0.0.1', 0)
+        self.socket.listen()
+        self.address = PeerAddress(f'tcp://127.0.0.1:{port_of(self.socket)}')
+
+    def restart(self) -> None:
+        self.boot += 1
+        self.work = self._new_work()
+
+    async def handle(self, sender: HostId, request: Request) -> Reply:
+        if self.before:
+            await self.before(request)
+        match request:
+            case Work():
+                return await self.work.run(request)
+            case CancelWork():
+                return self.work.cancel(request)
+            case AskApplied():
+                return Applied(Version(3))
+        return Done()
+
+    def cut(self) -> None:
+        """Reset all connections."""
+        for accepted in tuple(self.listener.connections):
+            accepted.abort()
+
+    def member(self) -> Member:
+        known = member('b')
+        return Member(
+            known.host,
+            self.address,
+            known.region,
+            known.zone,
+            1,
+            boot=_BOOT,
+        )
+
+    def _new_work(self) -> ForwardedWork:
+        return ForwardedWork(
+            self.runner,
+            lambda now_s: Load(4, 1, 0),
+            lambda: None,
+            lambda: self.is_leaving,
+            self.boot,
+            self.log,
+        )
+
+
+class _Fixture:
+    def __init__(self) -> None:
+        self.peer = _Peer()
+        self.log = ListLog()
+        self.links = StreamLinks(
+            'c',
+            HostId('a'),
+            Metrics(),
+            self.log,
+            _LIMIT_BYTES,
+            lambda address: 'zone',
+        )
+        self.forwarder = Forwarder(self.links)
+
+    async def forward(self, name: str, budget_s: float = 2.0) -> Outcome:
+        call = Call(
+            request_id=RequestId(name),
+            method='POST',
+            target='/',
+            headers=(),
+            body=b'body',
+            service=Service(name='s'),
+            rank=Rank(name='r'),
+            is_idempotent=False,
+            deadline_s=clock.now_s() + budget_s,
+            version=Version(1),
+        )
+        attempt = await self.forwarder.forward(call, self.peer.member())
+        return attempt.outcome
+
+
+@asynccontextmanager
+async def _fixture() -> AsyncIterator[_Fixture]:
+    fixture = _Fixture()
+    async with anyio.create_task_group() as tasks:
+        fixture.forwarder.start(tasks)
+        tasks.start_soon(
+            fixture.peer.listener.serve,
+            fixture.peer.socket,
+            fixture.peer.handle,
+        )
+        tasks.start_soon(fixture.links.run)
+        yield fixture
+        fixture.links.close()
+        tasks.cancel_scope.cancel()
+
+
+class LinkTests(unittest.IsolatedAsyncioTestCase):
+    """Requests and replies."""
+
+    async def test_many_requests_share_a_link(self) -> None:
+        async with _fixture() as fixture:
+            replies: list[Reply] = []
+
+            async def ask() -> None:
+                address = fixture.peer.address
+                replies.append(
+                    await fixture.links.ask(address, AskApplied(), 1)
+                )
+
+            async with anyio.create_task_group() as asking:
+                for _ in range(50):
+                    asking.start_soon(ask)
+            self.assertEqual(replies, [Applied(Version(3))] * 50)
+
+    async def test_nobody_listens(self) -> None:
+        async with _fixture() as fixture:
+            listener = bind('127.0.0.1', 0)
+            port = port_of(listener)
+            listener.close()
+            address = PeerAddress(f'tcp://127.0.0.1:{port}')
+            for _ in range(2):
+                with self.assertRaises(PeerError) as caught:
+                    await fixture.links.ask(address, AskApplied(), 1)
+                self.assertIs(caught.exception.verdict, Verdict.NOT_RUN)
+
+    async def test_other_cluster_is_refused(self) -> None:
+        async with _fixture() as fixture:
+            stranger = StreamLinks(
+                'other',
+                HostId('x'),
+                Metrics(),
+                ListLog(),
+                _LIMIT_BYTES,
+                lambda address: 'zone',
+            )
+            with self.assertRaises(PeerError):
+                await stranger.ask(fixture.peer.address, AskApplied(), 1)
+            self.assertIn(Event.PEER_MESSAGE_REFUSED, fixture.peer.log.events)
+            stranger.close()
+
+    async def test_late_reply_is_an_open_outcome(self) -> None:
+        async with _fixture() as fixture:
+            fixture.peer.runner.delay_s = 1
+            outcome = await fixture.forward('late', budget_s=0.1)
+            self.assertEqual(outcome, Unknown(Cause.DEADLINE))
+
+    async def test_closing_a_lost_link_is_harmless(self) -> None:
+        async with _fixture() as fixture:
+            await fixture.links.ask(fixture.peer.address, AskApplied(), 1)
+            fixture.peer.cut()
+            await anyio.sleep(0.05)
+            fixture.links.close()
+
+
+class LostLinkTests(unittest.IsolatedAsyncioTestCase):
+    """Work whose link is lost."""
+
+    async def _lose(self, name: str, lose) -> tuple[Outcome, list[str]]:
+        """Forward work and lose its first link in some way."""
+        async with _fixture() as fixture:
+
+            async def before(request: Request) -> None:
+                if isinstance(request, Work) and not request.is_resent:
+                    await lose(fixture.peer, request)
+
+            fixture.peer.before = before
+            outcome = await fixture.forward(name)
+            return outcome, fixture.peer.runner.ran
+
+    async def test_answer_is_fetched_over_a_new_link(self) -> None:
+        async def lose(peer: _Peer, request: Work) -> None:
+            peer.runner.delay_s = 0.2
+            asyncio.get_running_loop().call_later(0.05, peer.cut)
+
+        outcome, ran = await self._lose('once', lose)
+        self.assertEqual(outcome, Answered(200, (), b'body'))
+        self.assertEqual(ran, ['once'])
+
+    async def test_work_that_ended_meanwhile_is_not_run_again(self) -> None:
+        async def lose(peer: _Peer, request: Work) -> None:
+            await peer.work.run(request)
+            peer.cut()
+
+        outcome, ran = await self._lose('ended', lose)
+        self.assertEqual(outcome, Answered(200, (), b'body'))
+        self.assertEqual(ran, ['ended'])
+
+    async def test_restarted_peer_does_not_run_it(self) -> None:
+        async def lose(peer: _Peer, request: Work) -> None:
+            peer.restart()
+            peer.cut()
+            await anyio.sleep(1)
+
+        outcome, ran = await self._lose('restarted', lose)
+        self.assertEqual(outcome, Unknown(Cause.PEER_UNREACHABLE))
+        self.assertEqual(ran, [])
+
+    async def test_orphaned_work_is_cancelled_within_half_a_second(
+        self,
+    ) -> None:
+        async with _fixture() as fixture:
+            fixture.peer.runner.delay_s = 5
+            with anyio.move_on_after(0.1):
+                await fixture.forward('orphan', budget_s=5)
+            fixture.links.close()
+            await anyio.sleep(0.45)
+            self.assertEqual(fixture.peer.runner.cancelled, 1)
+
+    async def test_caller_that_leaves_cancels_the_work(self) -> None:
+        async with _fixture() as fixture:
+            fixture.peer.runner.delay_s = 5
+            with anyio.move_on_after(0.1):
+                await fixture.forward('left', budget_s=5)
+            await anyio.sleep(0.1)
+            self.assertEqual(fixture.peer.runner.cancelled, 1)
+
+    async def test_leaving_peer_refuses_new_work(self) -> None:
+        async with _fixture() as fixture:
+            fixture.peer.is_leaving = True
+            outcome = await fixture.forward('refused')
+            self.assertEqual(outcome, Refused(Cause.LEAVING))
