Answer requests that arrive while a daemon exits

The trace: SIGTERM at 24.288 s, a request at 27.071 s, its connection closed at 27.102 s without an answer, its work reaching a server 0.27 s later. The daemon had found itself quiet and was telling the others that it left; what arrived meanwhile was read and then cut by the exit.

Change: before the exit the daemon stops listening, refuses what is new with a true time to come back, ends idle connections and waits for what is under way. The own interface matches routes by host, draws split routes by weight and keeps to the attempts of a route.

Ruled out: a longer quiet time; where fewer than half of a zone are ready the callers do not stop at all.

--- a/src/ragwortstand/__init__.py
+++ b/src/ragwortstand/__init__.py
@@ -6,9 +6,17 @@
     Fault,
     RagwortstandError,
 )
-from ragwortstand.models import Configuration, Rank, Route, Service
+from ragwortstand.models import (
+    CallerLimits,
+    Configuration,
+    Rank,
+    Route,
+    Service,
+    WeightedService,
+)
 
 __all__ = (
+    'CallerLimits',
     'Configuration',
     'ConfigurationError',
     'Fault',
@@ -16,6 +24,7 @@
     'Rank',
     'Route',
     'Service',
+    'WeightedService',
     'check',
     'parse',
 )
--- a/src/ragwortstand/callers/front.py
+++ b/src/ragwortstand/callers/front.py
@@ -1,5 +1,6 @@
 """ragwortstand.callers.front: the HTTP side that callers talk to."""
 
+import random
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from typing import Any, TypeAlias, cast
@@ -11,6 +12,7 @@
 from ragwortstand.callers.answers import render
 from ragwortstand.callers.dispatch import Dispatcher
 from ragwortstand.callers.overload import OverloadGuard
+from ragwortstand.callers.splits import WeightedSplits
 from ragwortstand.calls import Call
 from ragwortstand.events import Event, EventLog
 from ragwortstand.exceptions import CallerGoneError, RequestTooLargeError
@@ -85,6 +87,7 @@
         self._limits = limits
         self._metrics = metrics
         self._log = log
+        self._splits = WeightedSplits(random.Random())
         self._visits: set[_Visit] = set()
         self.is_leaving = False
 
@@ -176,17 +179,22 @@
         refusal = self._early_refusal(snapshot)
         if refusal or snapshot is None:
             return refusal or Refused(Cause.NO_CONFIGURATION)
-        match = snapshot.match(scope['method'], scope['path'])
+        headers = dict(scope['headers'])
+        host = headers.get(b'host', b'').decode('latin-1').lower()
+        match = snapshot.match(
+            scope['method'], scope['path'], host.partition(':')[0]
+        )
         if match is None:
             return Refused(Cause.NO_ROUTE)
-        headers = dict(scope['headers'])
         try:
             body = await self._body(headers, receive)
-            return _call(scope, headers, body, match, snapshot, request_id)
+            call = _call(scope, headers, body, match, snapshot, request_id)
         except RequestTooLargeError:
             return Refused(Cause.BODY_TOO_LARGE)
         except ValueError:
             return Refused(Cause.BAD_REQUEST)
+        call.service = self._splits.draw(match)
+        return call
 
     async def _refuse(self, refusal: Refused, send: Send) -> None:
         """Refuse a request that does not count as in flight."""
@@ -274,6 +282,7 @@
         deadline_s=anyio.current_time() + _timeout_s(headers, match, rank),
         version=snapshot.version,
         key=_key(headers),
+        max_attempts=match.route.max_attempts,
     )
 
 
--- a/src/ragwortstand/callers/splits.py
+++ b/src/ragwortstand/callers/splits.py
@@ -5,6 +5,10 @@
 from ragwortstand.models import Service
 from ragwortstand.versions import Match, Part
 
+# Splits that are remembered; the largest configurations have thousands of
+# routes, and those of former versions are not needed.
+_MAX_SPLITS = 10_000
+
 
 class WeightedSplits:
     """Draws the parts of each route in proportion to their weights.
@@ -30,6 +34,8 @@
             return parts[0].service
         credits = self._credits.get(parts)
         if credits is None:
+            if len(self._credits) >= _MAX_SPLITS:
+                self._credits.clear()
             credits = [self._rng.uniform(0, part.weight) for part in parts]
             self._credits[parts] = credits
         for position, part in enumerate(parts):
--- a/src/ragwortstand/graceful_stop.py
+++ b/src/ragwortstand/graceful_stop.py
@@ -30,6 +30,9 @@
 _REFUSE_AFTER_S = 3.0
 # Kept of the grace period for telling the others and for the exit itself.
 _EXIT_RESERVE_S = 1.2
+# Last requests that were on their way when the daemon stopped listening are
+# answered within this time.
+_LAST_S = 0.15
 
 
 class GracefulStop:
@@ -80,7 +83,24 @@
                 break
             await anyio.sleep(_POLL_S)
             now_s = clock.now_s()
-        self._members.update_own(state=MemberState.LEFT)
+        await self._close(callers, end_s)
+
+    async def _close(self, callers: HttpServer, end_s: float) -> None:
+        """Close the door, and answer what was already on its way.
+
+        A request that was read must not be cut by the exit: from here on new
+        ones are refused, and open connections end when they are idle.
+        """
+        self._proxy.is_refusing = True
+        self._members.update_own(is_ready=False, state=MemberState.LEFT)
+        self._tell()
+        callers.stop_listening()
+        quiet_at_s = clock.now_s() + _LAST_S
+        now_s = quiet_at_s - _LAST_S
+        while now_s < quiet_at_s or (callers.in_flight and now_s < end_s):
+            callers.close_idle()
+            await anyio.sleep(_POLL_S)
+            now_s = clock.now_s()
 
     def _refuse_more(self, elapsed_s: float) -> None:
         """Refuse work of other daemons first, and that of callers later."""
--- a/src/ragwortstand/http_server.py
+++ b/src/ragwortstand/http_server.py
@@ -103,6 +103,7 @@
         self.limits = limits
         self.log = log
         self.is_closing = False
+        self._listening: asyncio.Server | None = None
         self.connections: set[CallerConnection] = set()
 
     @property
@@ -119,6 +120,7 @@
         server = await loop.create_server(
             lambda: CallerConnection(self), sock=listener, backlog=BACKLOG
         )
+        self._listening = server
         try:
             while True:
                 await anyio.sleep(_SWEEP_S)
@@ -128,6 +130,11 @@
             for connection in tuple(self.connections):
                 connection.end()
 
+    def stop_listening(self) -> None:
+        """Accept no further connections; those that are open go on."""
+        if self._listening:
+            self._listening.close()
+
     def close_idle(self) -> None:
         """End kept connections: idle ones now, others with their answers."""
         self.is_closing = True
--- a/src/ragwortstand/peers/retries.py
+++ b/src/ragwortstand/peers/retries.py
@@ -95,7 +95,8 @@
 ) -> bool:
     if isinstance(outcome, Answered) or outcome.cause in _FINAL:
         return False
-    if call.attempt >= MAX_ATTEMPTS or not call.remaining_s(now_s):
+    limit = min(call.max_attempts or MAX_ATTEMPTS, MAX_ATTEMPTS)
+    if call.attempt >= limit or not call.remaining_s(now_s):
         return False
     if call.key and not call.is_idempotent:
         return outcome.cause in _HOME_FAILURES
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -18,7 +18,7 @@
 from ragwortstand.http_server import CallerRequest, HttpServer
 from ragwortstand.models import CallerLimits
 from ragwortstand.sockets import bind, port_of
-from ragwortstand.verdicts import Answered
+from ragwortstand.verdicts import Answered, Verdict
 from tests.fakes import ListLog
 from tests.store_standin import StoreStandin
 
@@ -80,9 +80,13 @@
 
 @dataclass
 class Fleet:
-    """All hosts and the store."""
+    """All hosts and the store.
+
+    :ivar lost: requests that were sent and got no answer.
+    """
 
     store: StoreStandin
+    lost: int = 0
     hosts: list[Host] = field(default_factory=list)
 
     async def call(
@@ -100,10 +104,12 @@
                     endpoint, _MAX_ANSWER_BYTES
                 )
                 answered = await connection.exchange(request)
-            except BackendServerError:
+            except BackendServerError as error:
+                self.lost += error.verdict is Verdict.MAY_HAVE_RUN
                 return None
             connection.close()
             return answered
+        self.lost += 1
         return None
 
     async def ask(
--- /dev/null
+++ b/tests/test_graceful_stop.py
@@ -0,0 +1,98 @@
+"""The order in which a sidecar leaves, without other processes."""
+
+import unittest
+from types import SimpleNamespace
+
+import anyio
+
+from ragwortstand import clock, graceful_stop
+from ragwortstand.graceful_stop import GracefulStop
+from ragwortstand.http_server import CallerRequest, HttpServer
+from ragwortstand.models import CallerLimits
+from ragwortstand.peers.members import Members
+from ragwortstand.peers.messages import MemberState
+from ragwortstand.settings import MembershipSettings
+from ragwortstand.verdicts import Answered
+from tests.fakes import ListLog, member
+from tests.servers import running_http
+
+_REQUEST = b'GET /a HTTP/1.1\r\nhost: h\r\n\r\n'
+
+
+class _Parts:
+    """A caller's side that answers after a while."""
+
+    def __init__(self) -> None:
+        self.proxy = SimpleNamespace(is_refusing=False, last_request_at_s=0.0)
+        self.forwarded = SimpleNamespace(in_flight=0)
+        self.members = Members(member('own'), MembershipSettings(), 0.0)
+        self.told = 0
+        self.delay_s = 0.0
+        self.server = HttpServer(self.answer, CallerLimits, ListLog())
+        self.stop = GracefulStop(
+            self.proxy,  # type: ignore[arg-type]
+            self.forwarded,  # type: ignore[arg-type]
+            self.members,
+            self.tell,
+            ListLog(),
+        )
+
+    def tell(self) -> None:
+        self.told += 1
+
+    async def answer(self, request: CallerRequest) -> Answered:
+        self.proxy.last_request_at_s = clock.now_s()
+        if self.proxy.is_refusing:
+            return Answered(503, (), b'')
+        await anyio.sleep(self.delay_s)
+        return Answered(200, (), b'')
+
+
+class StopTests(unittest.IsolatedAsyncioTestCase):
+    """What callers see of a stop."""
+
+    async def test_no_connection_is_left_open(self) -> None:
+        parts = _Parts()
+        async with running_http(parts.server) as port:
+            late = await anyio.connect_tcp('127.0.0.1', port)
+            parts.server.close_idle()
+            await late.aclose()
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(parts.stop.run, parts.server, 6.0)
+                await anyio.sleep(1)
+                kept = await anyio.connect_tcp('127.0.0.1', port)
+            self.assertEqual(parts.server.connections, set())
+            with self.assertRaises(OSError):
+                await anyio.connect_tcp('127.0.0.1', port)
+            await kept.aclose()
+
+    async def test_last_requests_are_answered_before_the_end(self) -> None:
+        parts = _Parts()
+        parts.delay_s = 0.3
+        async with running_http(parts.server) as port:
+            found = b''
+
+            async def ask() -> None:
+                nonlocal found
+                stream = await anyio.connect_tcp('127.0.0.1', port)
+                async with stream:
+                    await anyio.sleep(graceful_stop._CALLERS_GONE_S - 0.2)
+                    await stream.send(_REQUEST)
+                    found = await stream.receive()
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(parts.stop.run, parts.server, 6.0)
+                await anyio.sleep(0.1)
+                tasks.start_soon(ask)
+            self.assertIn(b'200 OK', found)
+            self.assertIn(b'connection: close', found)
+
+    async def test_time_that_runs_out_ends_it(self) -> None:
+        parts = _Parts()
+        parts.forwarded.in_flight = 1
+        started_s = clock.now_s()
+        async with running_http(parts.server):
+            await parts.stop.run(parts.server, 3.0)
+        self.assertLess(clock.now_s() - started_s, 3.0)
+        self.assertIs(parts.members.own.state, MemberState.LEFT)
+        self.assertGreater(parts.told, 0)
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -162,6 +162,28 @@
                     await anyio.sleep(_POLL_S)
             self.assertEqual(stopped.process.returncode, 0)
 
+    async def test_requests_until_the_very_end_are_answered(self) -> None:
+        async with running_fleet(_SERVICES, row_of(7)) as fleet:
+            stopped = fleet.hosts[0]
+            await _serving(fleet, stopped)
+            for host in fleet.hosts:
+                host.worker.delay_s = 0.1
+            before = fleet.lost
+            asked = 0
+
+            async def ask() -> None:
+                await fleet.ask(stopped, _PATH, f'end-{asked}')
+
+            async with anyio.create_task_group() as callers:
+                stopped.stop()
+                while stopped.process.poll() is None:
+                    asked += 1
+                    callers.start_soon(ask)
+                    await anyio.sleep(_POLL_S)
+            self.assertEqual(stopped.process.returncode, 0)
+            self.assertGreater(asked, 50)
+            self.assertEqual(fleet.lost, before)
+
 
 async def _serving(fleet: Fleet, host: Host) -> None:
     """Wait until requests from a host are served by both services."""
