Log why a backend server's daemon declined, and split the grown modules

Cause: a caller's refused request could be followed to the daemons that were asked, but not to the load that they decided on. server.py, distribution.py and sidecar.py had grown beyond one job each.

Change: ragwort:declined (slots, queue, service time, time left to goal and deadline, age of the last announcement), ragwort:no-candidate, retry_after_s with a refusal. announcements.py, exchanges.py, version_sources.py, deltas.py and sidecar_parts.py hold what moved; nothing else changed in them. Tests of links give connections 3 s; the bound of the product stays.

--- a/src/ragwortstand/backend_servers/__init__.py
+++ b/src/ragwortstand/backend_servers/__init__.py
@@ -1,12 +1,9 @@
 """ragwortstand.backend_servers: the backend server beside the daemon."""
 
 from ragwortstand.backend_servers.admission import Load
+from ragwortstand.backend_servers.announcements import Announcement
 from ragwortstand.backend_servers.connections import end_to_end
-from ragwortstand.backend_servers.server import (
-    Announcement,
-    BackendServer,
-    BackendState,
-)
+from ragwortstand.backend_servers.server import BackendServer, BackendState
 
 __all__ = (
     'Announcement',
--- a/src/ragwortstand/backend_servers/crash_watch.py
+++ b/src/ragwortstand/backend_servers/crash_watch.py
@@ -71,6 +71,16 @@
         self.on_crash: CrashListener = _no_listener
         self.on_clear: ClearListener = _no_clear_listener
 
+    def is_suspect(self, call: Call, now_s: float) -> bool:
+        """Return whether a request was in flight at a crash.
+
+        :param call: the request.
+        :param now_s: present time.
+        """
+        if not self.record:
+            return False
+        return self.record.crashes(call.fingerprint, now_s) > 0
+
     async def after_loss(
         self,
         call: Call,
--- /dev/null
+++ b/src/ragwortstand/backend_servers/exchanges.py
@@ -0,0 +1,154 @@
+"""ragwortstand.backend_servers.exchanges: requests over pooled connections."""
+
+from collections.abc import Callable
+
+import anyio
+
+from ragwortstand import clock
+from ragwortstand.backend_servers.announcements import Announcement
+from ragwortstand.backend_servers.clients import HttptoolsConnection
+from ragwortstand.backend_servers.connections import (
+    Connect,
+    ConnectionPool,
+    Endpoint,
+    HttpConnection,
+)
+from ragwortstand.backend_servers.crash_watch import CrashWatch, Flights
+from ragwortstand.backend_servers.dialect import BackendDialect
+from ragwortstand.calls import Call
+from ragwortstand.exceptions import AnswerTooLargeError, BackendServerError
+from ragwortstand.settings import BackendServerSettings
+from ragwortstand.verdicts import (
+    Cause,
+    Outcome,
+    Refused,
+    Unknown,
+    Verdict,
+)
+
+_SECOND_PROBE_S = 0.05
+# The answer of a backend server that is not the one that was meant.
+_ANOTHER_SERVER = Refused(Cause.NO_BACKEND_SERVER)
+
+
+class Exchanges:
+    """Sends requests to one backend server and judges what comes back.
+
+    :param settings: how connections are used again.
+    :param max_answer_bytes: limit of an answer's body.
+    :param dialect: headers of requests and the meaning of answers.
+    :param connect: opens connections.
+    :param crashes: tells crashes from lost connections.
+    :param on_down: told why the backend server can't be reached.
+    """
+
+    def __init__(
+        self,
+        settings: BackendServerSettings,
+        max_answer_bytes: int,
+        dialect: BackendDialect,
+        connect: Connect,
+        crashes: CrashWatch,
+        on_down: Callable[[str], None],
+    ) -> None:
+        """Start without a backend server."""
+        self._settings = settings
+        self._max_answer_bytes = max_answer_bytes
+        self._dialect = dialect
+        self._connect = connect
+        self._crashes = crashes
+        self._on_down = on_down
+        self._pool: ConnectionPool | None = None
+        self._endpoint = Endpoint('', 0)
+        self._instance = ''
+
+    def open(self, announcement: Announcement) -> None:
+        """Talk to a backend server that has started.
+
+        :param announcement: where it is.
+        """
+        self.drop_idle()
+        self._instance = announcement.instance
+        self._endpoint = Endpoint(announcement.address, announcement.port)
+        self._pool = ConnectionPool(
+            self._connect,
+            self._endpoint,
+            announcement.connections,
+            self._max_answer_bytes,
+        )
+
+    def drop_idle(self) -> None:
+        """Close idle connections, which may have gone silent like one."""
+        if self._pool:
+            self._pool.close()
+
+    async def run(self, call: Call) -> Outcome:
+        """Return the outcome of a request that has a slot."""
+        pool = self._pool
+        if pool is None:
+            return Refused(Cause.BACKEND_SERVER_DOWN)
+        reuse_s = (
+            self._settings.idle_reuse_s
+            if call.is_idempotent
+            else self._settings.strict_idle_reuse_s
+        )
+        try:
+            connection = await pool.acquire(reuse_s, clock.now_s())
+        except BackendServerError as error:
+            self._on_down(str(error))
+            return Refused(Cause.BACKEND_SERVER_DOWN)
+        try:
+            return await self._fly(call, connection)
+        finally:
+            pool.release(connection, clock.now_s())
+
+    async def _fly(self, call: Call, connection: HttpConnection) -> Outcome:
+        flights = self._crashes.flights
+        call.is_dispatched = True
+        with flights.flight(call):
+            try:
+                answered = await connection.exchange(
+                    self._dialect.request(call, self._instance, clock.now_s())
+                )
+            except AnswerTooLargeError:
+                return Unknown(Cause.ANSWER_TOO_LARGE)
+            except BackendServerError as error:
+                return await self._after_error(call, flights, error)
+        if self._crashes.is_suspect(call, clock.now_s()):
+            await self._crashes.clear(call.fingerprint)
+        outcome = self._dialect.outcome(call, answered)
+        if isinstance(outcome, Refused):
+            call.is_dispatched = False
+        if outcome == _ANOTHER_SERVER:
+            self._on_down('another backend server has the address')
+        return outcome
+
+    async def _after_error(
+        self,
+        call: Call,
+        flights: Flights,
+        error: BackendServerError,
+    ) -> Outcome:
+        if error.verdict is Verdict.NOT_RUN:
+            call.is_dispatched = False
+            return Refused(Cause.BACKEND_SERVER_DOWN)
+        cause = await self._crashes.after_loss(
+            call, flights, self._accepts_connections
+        )
+        return Unknown(cause)
+
+    async def _accepts_connections(self) -> bool:
+        """Try two connections; a dying process may still accept the first."""
+        if not await self._accepts_connection():
+            return False
+        await anyio.sleep(_SECOND_PROBE_S)
+        return await self._accepts_connection()
+
+    async def _accepts_connection(self) -> bool:
+        try:
+            probe = await HttptoolsConnection.connect(self._endpoint, 0)
+        except BackendServerError as error:
+            self._on_down(str(error))
+            return False
+        probe.close()
+        return True
--- a/src/ragwortstand/callers/dispatch.py
+++ b/src/ragwortstand/callers/dispatch.py
@@ -72,6 +72,7 @@
         while True:
             member = self._choose(call, tried)
             if member is None:
+                self._note_no_candidate(call, tried)
                 return last or Refused(
                     Cause.NO_BACKEND_SERVER, _NO_SERVER_RETRY_S
                 )
@@ -130,6 +131,16 @@
         load = self._load(clock.now_s())
         return Attempt(outcome, load.busy)
 
+    def _note_no_candidate(self, call: Call, tried: set[HostId]) -> None:
+        service = ServiceName(call.service.name)
+        self._log.emit(
+            Event.NO_CANDIDATE,
+            request=call.request_id,
+            service=service,
+            offering=[one.host for one in self._members.offering(service)],
+            tried=sorted(tried),
+        )
+
     def _note_retry(
         self,
         call: Call,
--- a/src/ragwortstand/callers/proxy.py
+++ b/src/ragwortstand/callers/proxy.py
@@ -170,11 +170,13 @@
         taken_s = clock.now_s() - began_at_s
         rank = call.rank.name if call else _NO_RANK
         verdict = outcome.verdict.value
-        status, cause = 0, ''
+        status, cause, retry_after_s = 0, '', 0.0
         if isinstance(outcome, Answered):
             status = outcome.status
         else:
             cause = outcome.cause.value
+        if isinstance(outcome, Refused):
+            retry_after_s = round(outcome.retry_after_s, 4)
         self._metrics.count_outcome(rank, verdict, cause, taken_s)
         self._log.emit(
             _EVENTS[outcome.verdict],
@@ -186,4 +188,5 @@
             cause=cause,
             attempts=call.attempt if call else 0,
             taken_s=round(taken_s, 4),
+            retry_after_s=retry_after_s,
         )
--- a/src/ragwortstand/daemon.py
+++ b/src/ragwortstand/daemon.py
@@ -26,11 +26,7 @@
 from ragwortstand.operators.admin import Admin
 from ragwortstand.operators.fleet_report import FleetReport
 from ragwortstand.peers.choice import choice_for
-from ragwortstand.peers.distribution import (
-    DistributionPolicy,
-    Distributor,
-    Polling,
-)
+from ragwortstand.peers.distribution import Distributor
 from ragwortstand.peers.forwarding import ForwardedWork, Forwarder
 from ragwortstand.peers.gossip import Gossip
 from ragwortstand.peers.handlers import PeerHandlers
@@ -49,6 +45,7 @@
 from ragwortstand.peers.retries import retries_for
 from ragwortstand.peers.scopes import LinkScopes
 from ragwortstand.peers.store_watch import StoreWatch
+from ragwortstand.peers.version_sources import DistributionPolicy, Polling
 from ragwortstand.servers import HttpServer, http_server
 from ragwortstand.settings import DaemonSettings
 from ragwortstand.sockets import bind, port_of
--- a/src/ragwortstand/events.py
+++ b/src/ragwortstand/events.py
@@ -26,6 +26,8 @@
     APPLIED = 'ragwort:applied'
     VERSION_REFUSED = 'ragwort:version-refused'
     SERVED = 'ragwort:served'
+    DECLINED = 'ragwort:declined'
+    NO_CANDIDATE = 'ragwort:no-candidate'
     REFUSED = 'ragwort:refused'
     UNKNOWN = 'ragwort:may-have-run'
     RETRIED = 'ragwort:retried'
--- a/src/ragwortstand/peers/distribution.py
+++ b/src/ragwortstand/peers/distribution.py
@@ -9,8 +9,6 @@
 
 import contextlib
 import random
-from dataclasses import dataclass
-from typing import Protocol
 
 import anyio
 import zstandard
@@ -18,9 +16,9 @@
 
 from ragwortstand.events import Event, EventLog
 from ragwortstand.exceptions import PeerError, PlatformError
-from ragwortstand.ids import NO_VERSION, Digest, PeerAddress, Version
+from ragwortstand.ids import NO_VERSION, PeerAddress, Version
 from ragwortstand.metrics import Metrics
-from ragwortstand.models import MAX_CONFIGURATION_BYTES
+from ragwortstand.peers.deltas import compress, decompress
 from ragwortstand.peers.members import Members
 from ragwortstand.peers.messages import (
     Applied,
@@ -33,11 +31,11 @@
     VersionContent,
 )
 from ragwortstand.peers.protocols import PeerLinks
+from ragwortstand.peers.version_sources import DistributionPolicy, VersionSource
 from ragwortstand.rendezvous import ranked
-from ragwortstand.storage import Acceptance, VersionRecord
+from ragwortstand.storage import VersionRecord
 from ragwortstand.versions import Offer, Snapshot, VersionGate
 
-_FANOUT = 4
 _READERS = 2
 _ASKED_AT_START = 16
 _PEER_TIMEOUT_S = 2.0
@@ -47,89 +45,6 @@
 _JOIN_POLL_S = 0.05
 
 
-class VersionSource(Protocol):
-    """Where accepted versions are read."""
-
-    async def head(self) -> VersionRecord | None:
-        """Return the newest accepted version, None where there is none.
-
-        :raises PlatformError: when the store does not answer.
-        """
-
-    async def content(self, digest: Digest) -> bytes | None:
-        """Return the content of a version, None where it is not held.
-
-        :raises PlatformError: when the store does not answer.
-        """
-
-    def is_held(self, digest: Digest) -> bool:
-        """Return whether `content` needs no call to the store."""
-
-    async def wait(self, is_reader: bool) -> None:
-        """Wait until the newest version is worth another look.
-
-        :param is_reader: whether this daemon reads the store for others.
-        """
-
-
-class Polling:
-    """Versions that are read at intervals.
-
-    :param acceptance: reads accepted versions from the platform.
-    :param interval_s: time between two reads.
-    :param rng: source of randomness.
-    """
-
-    def __init__(
-        self,
-        acceptance: Acceptance,
-        interval_s: float,
-        rng: random.Random,
-    ) -> None:
-        """Keep the collaborators."""
-        self._acceptance = acceptance
-        self._interval_s = interval_s
-        self._rng = rng
-
-    async def head(self) -> VersionRecord | None:
-        """Return the newest accepted version, None where there is none."""
-        return await self._acceptance.head()
-
-    async def content(self, digest: Digest) -> bytes | None:
-        """Return the content of a version, None where it is not held."""
-        return await self._acceptance.content(digest)
-
-    def is_held(self, digest: Digest) -> bool:
-        """Return False, as nothing is kept."""
-        return False
-
-    async def wait(self, is_reader: bool) -> None:
-        """Wait for one interval."""
-        await anyio.sleep(self._interval_s * self._rng.uniform(0.9, 1.1))
-
-
-@dataclass(frozen=True, slots=True)
-class DistributionPolicy:
-    """How versions travel.
-
-    :param is_pushing: whether a daemon tells others of a version it applied;
-        otherwise each reads the whole configuration itself.
-    :param fanout: members of the region that a daemon tells.
-    :param is_flat: whether members of all regions are told alike, without
-        bridges; for small fleets.
-    :param standby_delay_s: how long the second reader leaves a new version to
-        the first.
-    :param store_region: region of the store; None where readers are chosen by
-        how well they reach it.
-    """
-
-    is_pushing: bool = True
-    fanout: int = _FANOUT
-    is_flat: bool = False
-    standby_delay_s: float = 1.0
-    store_region: str | None = None
-
-
 class Distributor:
     """Fetches, applies and passes on versions of the configuration.
 
@@ -425,34 +340,3 @@
     ]
     order = ranked('store-reader', hosts)
     return [usable[host] for host in order[:_READERS]]
-
-
-def compress(content: bytes, base: bytes) -> bytes:
-    """Return content as a zstd frame.
-
-    :param content: what to compress.
-    :param base: content of an older version, used as the dictionary, or
-        nothing.
-    """
-    return zstandard.ZstdCompressor(dict_data=_dictionary(base)).compress(
-        content
-    )
-
-
-def decompress(payload: bytes, base: bytes) -> bytes:
-    """Return the content of a zstd frame.
-
-    :param payload: the frame.
-    :param base: the dictionary that `compress` was given.
-    :raises zstandard.ZstdError: when the frame is damaged or too large.
-    """
-    reader = zstandard.ZstdDecompressor(dict_data=_dictionary(base))
-    return reader.decompress(payload, max_output_size=MAX_CONFIGURATION_BYTES)
-
-
-def _dictionary(base: bytes) -> zstandard.ZstdCompressionDict | None:
-    if not base:
-        return None
-    return zstandard.ZstdCompressionDict(
-        base, dict_type=zstandard.DICT_TYPE_RAWCONTENT
-    )
--- a/src/ragwortstand/peers/streams.py
+++ b/src/ragwortstand/peers/streams.py
@@ -188,6 +188,7 @@
     :param log: tells of links that are reset.
     :param max_message_bytes: limit of a message.
     :param scope_of: names the scope of an address: zone, region or regional.
+    :param connect_timeout_s: time to open a connection.
     """
 
     def __init__(
@@ -198,8 +199,10 @@
         log: EventLog,
         max_message_bytes: int,
         scope_of: Callable[[PeerAddress], str],
+        connect_timeout_s: float = CONNECT_TIMEOUT_S,
     ) -> None:
         """Start without links."""
+        self._connect_timeout_s = connect_timeout_s
         self._cluster = cluster
         self._host = host
         self._metrics = metrics
@@ -224,7 +227,9 @@
         :raises PeerError: when there is no usable reply in time.
         """
         wire = encode(Envelope(self._cluster, self._host, request))
-        link = await self._link(address, min(timeout_s, CONNECT_TIMEOUT_S))
+        link = await self._link(
+            address, min(timeout_s, self._connect_timeout_s)
+        )
         self._count(address, request, len(wire), 'sent')
         answer = await link.ask(wire, timeout_s)
         try:
--- /dev/null
+++ b/src/ragwortstand/peers/version_sources.py
@@ -0,0 +1,93 @@
+"""ragwortstand.peers.version_sources: where versions come from, and how far."""
+
+import random
+from dataclasses import dataclass
+from typing import Protocol
+
+import anyio
+
+from ragwortstand.ids import Digest
+from ragwortstand.storage import Acceptance, VersionRecord
+
+
+class VersionSource(Protocol):
+    """Where accepted versions are read."""
+
+    async def head(self) -> VersionRecord | None:
+        """Return the newest accepted version, None where there is none.
+
+        :raises PlatformError: when the store does not answer.
+        """
+
+    async def content(self, digest: Digest) -> bytes | None:
+        """Return the content of a version, None where it is not held.
+
+        :raises PlatformError: when the store does not answer.
+        """
+
+    def is_held(self, digest: Digest) -> bool:
+        """Return whether `content` needs no call to the store."""
+
+    async def wait(self, is_reader: bool) -> None:
+        """Wait until the newest version is worth another look.
+
+        :param is_reader: whether this daemon reads the store for others.
+        """
+
+
+class Polling:
+    """Versions that are read at intervals.
+
+    :param acceptance: reads accepted versions from the platform.
+    :param interval_s: time between two reads.
+    :param rng: source of randomness.
+    """
+
+    def __init__(
+        self,
+        acceptance: Acceptance,
+        interval_s: float,
+        rng: random.Random,
+    ) -> None:
+        """Keep the collaborators."""
+        self._acceptance = acceptance
+        self._interval_s = interval_s
+        self._rng = rng
+
+    async def head(self) -> VersionRecord | None:
+        """Return the newest accepted version, None where there is none."""
+        return await self._acceptance.head()
+
+    async def content(self, digest: Digest) -> bytes | None:
+        """Return the content of a version, None where it is not held."""
+        return await self._acceptance.content(digest)
+
+    def is_held(self, digest: Digest) -> bool:
+        """Return False, as nothing is kept."""
+        return False
+
+    async def wait(self, is_reader: bool) -> None:
+        """Wait for one interval."""
+        await anyio.sleep(self._interval_s * self._rng.uniform(0.9, 1.1))
+
+
+@dataclass(frozen=True, slots=True)
+class DistributionPolicy:
+    """How versions travel.
+
+    :param is_pushing: whether a daemon tells others of a version it applied;
+        otherwise each reads the whole configuration itself.
+    :param fanout: members of the region that a daemon tells.
+    :param is_flat: whether members of all regions are told alike, without
+        bridges; for small fleets.
+    :param standby_delay_s: how long the second reader leaves a new version to
+        the first.
+    :param store_region: region of the store; None where readers are chosen by
+        how well they reach it.
+    """
+
+    is_pushing: bool = True
+    fanout: int = 4
+    is_flat: bool = False
+    standby_delay_s: float = 1.0
+    store_region: str | None = None
--- a/src/ragwortstand/platform/program.py
+++ b/src/ragwortstand/platform/program.py
@@ -30,7 +30,8 @@
     StoreTable,
     StoreVersions,
 )
-from ragwortstand.sidecar import Parts, Sidecar
+from ragwortstand.sidecar import Sidecar
+from ragwortstand.sidecar_parts import Parts
 
 SETTINGS_VARIABLE = 'RAGWORTSTAND_SETTINGS'
 # The file may change without a signal.
--- a/src/ragwortstand/platform/settings.py
+++ b/src/ragwortstand/platform/settings.py
@@ -17,7 +17,7 @@
     PeerSettings,
     PlatformSettings,
 )
-from ragwortstand.sidecar import SidecarSettings
+from ragwortstand.sidecar_parts import SidecarSettings
 
 _CLUSTER = 'mesh'
 # Metrics have a port of their own; the deploy file names it too.
--- a/src/ragwortstand/sidecar.py
+++ b/src/ragwortstand/sidecar.py
@@ -8,7 +8,6 @@
 import random
 import time
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
 
 import anyio
 from anyio.abc import TaskGroup
@@ -19,10 +18,9 @@
     BackendServer,
     BackendState,
 )
-from ragwortstand.backend_servers.dialect import BackendDialect
 from ragwortstand.backend_servers.goals import GoalAdmission
 from ragwortstand.callers.dispatch import Dispatcher
-from ragwortstand.callers.proxy import CallerDialect, Proxy
+from ragwortstand.callers.proxy import Proxy
 from ragwortstand.callers.splits import WeightedSplits
 from ragwortstand.events import Event, EventLog
 from ragwortstand.graceful_stop import GracefulStop
@@ -38,11 +36,7 @@
 from ragwortstand.metrics import Metrics
 from ragwortstand.models import CallerLimits
 from ragwortstand.peers.choice import Place
-from ragwortstand.peers.distribution import (
-    DistributionPolicy,
-    Distributor,
-    VersionSource,
-)
+from ragwortstand.peers.distribution import Distributor
 from ragwortstand.peers.enrolment import Enrolment
 from ragwortstand.peers.forwarding import ForwardedWork, Forwarder
 from ragwortstand.peers.goal_choice import GoalChoice
@@ -56,12 +50,13 @@
     SuspectCleared,
 )
 from ragwortstand.peers.scopes import LinkScopes
-from ragwortstand.peers.shared_budget import RetryTerms, SharedBudgetRetries
+from ragwortstand.peers.shared_budget import SharedBudgetRetries
 from ragwortstand.peers.store_watch import StoreWatch
 from ragwortstand.peers.streams import StreamLinks, StreamListener
-from ragwortstand.settings import DaemonSettings, Listen
+from ragwortstand.peers.version_sources import DistributionPolicy
+from ragwortstand.settings import Listen
+from ragwortstand.sidecar_parts import Parts, SidecarSettings
 from ragwortstand.sockets import bind
-from ragwortstand.storage.table import TableService
 from ragwortstand.versions import Snapshot, VersionGate
 
 # Message beyond the bodies that it carries.
@@ -77,44 +72,6 @@
 _BOOT_BITS = 48
 
 
-@dataclass(frozen=True, slots=True)
-class SidecarSettings:
-    """Settings of a sidecar.
-
-    :param daemon: settings that all daemons have.
-    :param ready: where readiness is asked for.
-    :param control: where the backend server announces itself.
-    :param metrics: where metrics are read.
-    :param seeds: daemons to join through while the store is out.
-    :param retry_terms: budget of retries that all daemons share.
-    :param grace_s: time between the signal to stop and the end.
-    """
-
-    daemon: DaemonSettings
-    ready: Listen
-    control: Listen
-    metrics: Listen
-    seeds: tuple[PeerAddress, ...]
-    retry_terms: RetryTerms
-    grace_s: float
-
-
-@dataclass(frozen=True, slots=True)
-class Parts:
-    """What an adapter brings.
-
-    :param callers: headers of callers' requests.
-    :param backend_servers: headers of requests to backend servers.
-    :param versions: reads accepted versions.
-    :param table: the platform's table service.
-    """
-
-    callers: CallerDialect
-    backend_servers: BackendDialect
-    versions: VersionSource
-    table: TableService
-
-
 class Sidecar:
     """All parts of one sidecar and the tasks that drive them.
 
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -40,6 +40,8 @@
 
 _LIMIT_BYTES = 100_000
 _BOOT = 7
+# Connections to a busy test process take longer than those to a peer may.
+_CONNECT_TIMEOUT_S = 3.0
 
 
 class _Runner:
@@ -130,6 +132,7 @@
             self.log,
             _LIMIT_BYTES,
             lambda address: 'zone',
+            _CONNECT_TIMEOUT_S,
         )
         self.forwarder = Forwarder(self.links)
 
--- a/tests/test_tools.py
+++ b/tests/test_tools.py
@@ -10,7 +10,7 @@
 
 from ragwortstand.daemon_cli import main as daemon_main
 from ragwortstand.operators.cli import main as ctl_main
-from ragwortstand.peers.distribution import compress, decompress
+from ragwortstand.peers.deltas import compress, decompress
 from ragwortstand.tools.audit import audit
 from ragwortstand.tools.load import Plan, Record, Stream, schedule
 from ragwortstand.tools.standin_backend import JournalLine
