--- a/Makefile
+++ b/Makefile
@@ -13,8 +13,8 @@
 	$(BIN)/ragwort-demo examples/$(DEPLOYMENT)
 
 format: $(STAMP)
-	$(BIN)/ruff check --fix-only --quiet src tests features examples
-	$(BIN)/ruff format src tests features examples
+	$(BIN)/ruff check --fix-only --quiet src tests features examples deploy
+	$(BIN)/ruff format src tests features examples deploy
 
 $(STAMP): pyproject.toml constraints.txt
 	command -v $(PYTHON) >/dev/null && $(PYTHON) -m venv $(VENV) || python3 -m venv $(VENV)
--- a/deploy/sidecar.py
+++ b/deploy/sidecar.py
@@ -9,7 +9,7 @@
 
 sys.path.insert(1, str(pathlib.Path(__file__).parent.parent / 'src'))
 
-from ragwortstand.platform.program import main  # noqa: E402
+from ragwortstand.platform.program import main
 
 if __name__ == '__main__':
     sys.exit(main())
--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -16,7 +16,7 @@
 from dataclasses import dataclass
 
 _ROOT = pathlib.Path(__file__).parent.parent
-_CODE = ('src', 'tests', 'features', 'examples')
+_CODE = ('src', 'tests', 'features', 'examples', 'deploy')
 # Scenarios start up to two dozen processes; more than three features at a
 # time would make the times they check depend on the machine.
 _SIDE_BY_SIDE = 3
