Drop forwarded work that comes together with its cancellation

The trace of one: sent on at 17.933 s, the client left at 18.103 s, the server got it at 19.368 s and was cut off 3 ms later. The work had been held up between two daemons; it came with its cancellation right behind it, and an idle connection let it reach the server before that was read.

Change: forwarded work checks for its cancellation before it runs.

Ruled out: the queue at the server (the run was cut 3 ms after it began, so the cancellation was there); measuring the time on the way by the sender's clock, which stands still while a machine is suspended.

Figures: the new test fails without the change and passes with it.

--- a/src/ragwortstand/peers/forwarding.py
+++ b/src/ragwortstand/peers/forwarding.py
@@ -8,6 +8,7 @@
 
 import anyio
 from anyio.abc import TaskGroup
+from anyio.lowlevel import checkpoint_if_cancelled
 
 from ragwortstand import clock
 from ragwortstand.backend_servers import Load
@@ -230,6 +231,9 @@
         outcome: Outcome = Refused(Cause.CALLER_GONE)
         try:
             with scope:
+                # Work that was held up on its way may come together with its
+                # cancellation; it must not reach the backend server then.
+                await checkpoint_if_cancelled()
                 outcome = await self._runner.run(call)
         except Exception as error:
             outcome = Unknown(Cause.INTERNAL)
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -289,6 +289,30 @@
             await anyio.sleep(0.1)
             self.assertEqual(fixture.peer.runner.cancelled, 1)
 
+    async def test_work_that_comes_with_its_cancellation_never_runs(
+        self,
+    ) -> None:
+        peer = _Peer()
+        work = Work(
+            RequestId('late'),
+            'GET',
+            '/',
+            (),
+            b'',
+            's',
+            'r',
+            True,
+            1.0,
+            Version(1),
+            1,
+        )
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(peer.handle, HostId('a'), work)
+            tasks.start_soon(
+                peer.handle, HostId('a'), CancelWork(RequestId('late'))
+            )
+        self.assertEqual(peer.runner.ran, [])
+
     async def test_leaving_peer_refuses_new_work(self) -> None:
         async with _fixture() as fixture:
             fixture.peer.is_leaving = True
