Watch connections for silence in one place

Cause: links between daemons and connections to backend servers set the same socket options in two copies. Change: sockets.watch_connection serves both, with their figures as before.

Ruled out in this pass: one base for GoalAdmission and ShareAdmission, and for GoalChoice and SignalChoice; they share signatures of a protocol, and not what they decide.

No behaviour is meant to change.

--- a/src/ragwortstand/backend_servers/clients.py
+++ b/src/ragwortstand/backend_servers/clients.py
@@ -4,7 +4,6 @@
 """
 
 import asyncio
-import socket
 from typing import cast
 
 import anyio
@@ -20,6 +19,7 @@
     AnswerTooLargeError,
     BackendServerError,
 )
+from ragwortstand.sockets import Vigilance, watch_connection
 from ragwortstand.verdicts import Answered, Header, Verdict
 
 CONNECT_TIMEOUT_S = 1.0
@@ -27,17 +27,11 @@
 _FRAMING = frozenset((b'content-length', b'transfer-encoding'))
 # Statuses whose answers have no body (RFC 9110, section 6.4.1).
 _WITHOUT_BODY = frozenset((204, 304))
-# Seconds of silence before a probe and between probes, and how many.
-_KEEPALIVE = (
-    (socket.TCP_KEEPIDLE, 1),
-    (socket.TCP_KEEPINTVL, 1),
-    (socket.TCP_KEEPCNT, 3),
-)
 
 
 # Time that sent bytes may stay unacknowledged; the backend server is on the
 # same host, so a live connection acknowledges within milliseconds.
-_USER_TIMEOUT_MS = 400
+_VIGILANCE = Vigilance(idle_s=1, probes=3, unacknowledged_ms=400)
 
 
 class HttptoolsConnection(asyncio.Protocol):
@@ -115,7 +109,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the open transport."""
         self._transport = cast(asyncio.Transport, transport)
-        _watch_connection(transport.get_extra_info('socket'))
+        watch_connection(transport.get_extra_info('socket'), _VIGILANCE)
 
     def eof_received(self) -> None:
         """End an answer whose body lasts until the connection ends."""
@@ -230,15 +224,3 @@
     lines.append(b'\r\n')
     lines.append(request.body)
     return b''.join(lines)
-
-
-def _watch_connection(connection: socket.socket | None) -> None:
-    """Let the kernel end a connection whose other end is out of reach."""
-    if connection is None:
-        return
-    connection.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    for option, amount in _KEEPALIVE:
-        connection.setsockopt(socket.IPPROTO_TCP, option, amount)
-    connection.setsockopt(
-        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS
-    )
--- a/src/ragwortstand/peers/streams.py
+++ b/src/ragwortstand/peers/streams.py
@@ -33,6 +33,7 @@
     encode,
     work_done,
 )
+from ragwortstand.sockets import Vigilance, watch_connection
 from ragwortstand.verdicts import Cause, Unknown, Verdict
 
 #: Time to open a connection: several round trips of 24 ms between regions.
@@ -46,14 +47,9 @@
 # of TCP (at least 0.2 s) and a round trip.
 _DEAD_AFTER_S = 0.9
 _WATCH_S = 0.2
-# An unused link that fails is noticed by the kernel's probes.
-_KEEPALIVE = (
-    (socket.TCP_KEEPIDLE, 2),
-    (socket.TCP_KEEPINTVL, 1),
-    (socket.TCP_KEEPCNT, 2),
-)
-# Time that sent bytes may stay unacknowledged.
-_USER_TIMEOUT_MS = 2000
+# An unused link that fails is noticed by the probes; sent bytes may stay
+# unacknowledged for several retransmissions between regions.
+_VIGILANCE = Vigilance(idle_s=2, probes=2, unacknowledged_ms=2000)
 _HEADER = struct.Struct('!IBI')
 _BACKLOG = 512
 
@@ -78,7 +74,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
-        _watch_connection(transport.get_extra_info('socket'))
+        watch_connection(transport.get_extra_info('socket'), _VIGILANCE)
 
     def data_received(self, data: bytes) -> None:
         self.heard_at_s = clock.now_s()
@@ -413,15 +409,3 @@
     if not reply.done():
         problem = f'no answer in {timeout_s:g} s'
         reply.set_exception(PeerError(problem, Verdict.MAY_HAVE_RUN))
-
-
-def _watch_connection(connection: socket.socket | None) -> None:
-    """Let the kernel end a connection whose other end is out of reach."""
-    if connection is None:
-        return
-    connection.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    for option, amount in _KEEPALIVE:
-        connection.setsockopt(socket.IPPROTO_TCP, option, amount)
-    connection.setsockopt(
-        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS
-    )
--- a/src/ragwortstand/sockets.py
+++ b/src/ragwortstand/sockets.py
@@ -1,6 +1,10 @@
-"""ragwortstand.sockets: listening sockets."""
+"""ragwortstand.sockets: listening sockets and watched connections."""
 
 import socket
+from dataclasses import dataclass
+
+# The shortest interval between probes that the kernel knows.
+_PROBE_INTERVAL_S = 1
 
 
 def bind(address: str, port: int) -> socket.socket:
@@ -19,3 +23,38 @@
     """Return the port that a socket listens on."""
     port: int = listener.getsockname()[1]
     return port
+
+
+@dataclass(frozen=True, slots=True)
+class Vigilance:
+    """How soon the kernel ends a connection out of reach.
+
+    :param idle_s: silence before the first probe.
+    :param probes: unanswered probes, a second apart, that end it.
+    :param unacknowledged_ms: how long sent bytes may stay unacknowledged.
+    """
+
+    idle_s: int
+    probes: int
+    unacknowledged_ms: int
+
+
+def watch_connection(
+    connection: socket.socket | None,
+    vigilance: Vigilance,
+) -> None:
+    """Let the kernel end a connection whose other end is out of reach.
+
+    :param connection: an open TCP socket; None is left alone.
+    :param vigilance: how soon.
+    """
+    if connection is None:
+        return
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for option, amount in (
+        (socket.TCP_KEEPIDLE, vigilance.idle_s),
+        (socket.TCP_KEEPINTVL, _PROBE_INTERVAL_S),
+        (socket.TCP_KEEPCNT, vigilance.probes),
+        (socket.TCP_USER_TIMEOUT, vigilance.unacknowledged_ms),
+    ):
+        connection.setsockopt(socket.IPPROTO_TCP, option, amount)
