Tell the story of one request with ragwort-timeline explain

Lines stand in the order of cause and effect, not of clocks: the attempts in the order of the daemon that took the request, each server's own account before the retry that followed, the outcome last, and under each what that process went by, with its age. Lines that are missing are told.

The reader of logs is a module of its own; it also takes lines behind a collector's prefix.

--- a/src/ragwortstand/tools/scale.py
+++ b/src/ragwortstand/tools/scale.py
@@ -18,9 +18,9 @@
 from ragwortstand.ids import NO_VERSION, SubmissionId, Version
 from ragwortstand.models import Configuration, Rank, Route, Service
 from ragwortstand.tools.deployment import Host
+from ragwortstand.tools.event_logs import read_events
 from ragwortstand.tools.fleet import Fleet
 from ragwortstand.tools.processes import wait_until
-from ragwortstand.tools.timeline import read_events
 
 _REGIONS = ('east', 'west')
 _ZONES = 3
--- a/src/ragwortstand/tools/timeline.py
+++ b/src/ragwortstand/tools/timeline.py
@@ -7,38 +7,19 @@
 """
 
 import argparse
-import json
 import pathlib
 import sys
-from collections.abc import Iterable, Iterator, Sequence
+from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
-from typing import Any
 
 from ragwortstand.commands import ExitCode, add_version, report
 from ragwortstand.events import Event
+from ragwortstand.tools import explain
+from ragwortstand.tools.event_logs import TimedEvent, read_events
 
-_ENVELOPE = frozenset(
-    ('timestamp', 'task_uuid', 'task_level', 'message_type', 'host'),
-)
 _OUTCOMES = frozenset((Event.REFUSED.value, Event.UNKNOWN.value))
 
 
-@dataclass(frozen=True, slots=True)
-class TimedEvent:
-    """One event of one process.
-
-    :param unix_s: when, seconds since 1970.
-    :param host: which process.
-    :param name: name of the event.
-    :param details: the other fields.
-    """
-
-    unix_s: float
-    host: str
-    name: str
-    details: dict[str, Any]
-
-
 @dataclass(frozen=True, slots=True)
 class Filter:
     """Which events to show; None shows all.
@@ -65,20 +46,6 @@
         )
 
 
-def read_events(paths: Iterable[pathlib.Path]) -> list[TimedEvent]:
-    """Return the events of several logs in the order of time.
-
-    :param paths: files with JSON lines.
-    """
-    events = [
-        event
-        for path in paths
-        for line in path.read_text(errors='replace').splitlines()
-        if (event := _event(line)) is not None
-    ]
-    return sorted(events, key=lambda event: event.unix_s)
-
-
 def crossings(events: Sequence[TimedEvent]) -> list[bool]:
     """Return for each event whether it overtook another.
 
@@ -122,11 +89,14 @@
 
 
 def main(arguments: Sequence[str] | None = None) -> int:
-    """Print a time line.
+    """Print a time line, or with `explain` the story of one request.
 
     :param arguments: command line without the program's name.
     :returns: exit code.
     """
+    arguments = sys.argv[1:] if arguments is None else arguments
+    if arguments and arguments[0] == 'explain':
+        return explain.main(arguments[1:])
     options = _parser().parse_args(arguments)
     chosen = Filter(
         options.request, options.version_filter, options.host, options.event
@@ -144,31 +114,12 @@
     return ExitCode.DONE
 
 
-def _event(line: str) -> TimedEvent | None:
-    try:
-        fields = json.loads(line)
-    except json.JSONDecodeError:
-        return None
-    if not isinstance(fields, dict) or 'message_type' not in fields:
-        return None
-    details = {
-        name: content
-        for name, content in fields.items()
-        if name not in _ENVELOPE
-    }
-    return TimedEvent(
-        unix_s=float(fields.get('timestamp', 0)),
-        host=str(fields.get('host', '?')),
-        name=str(fields['message_type']),
-        details=details,
-    )
-
-
 def _parser() -> argparse.ArgumentParser:
     parser = argparse.ArgumentParser(
         prog='ragwort-timeline',
         description='Merge event logs into one time line; ~ marks events '
-        'that overtook another.',
+        'that overtook another. `%(prog)s explain REQUEST-ID LOG...` tells '
+        'the story of one request.',
     )
     add_version(parser)
     parser.add_argument('logs', nargs='+', metavar='LOG')
--- /dev/null
+++ b/tests/test_explain.py
@@ -0,0 +1,135 @@
+"""Tests of the story of one request from the logs of many processes."""
+
+import contextlib
+import io
+import json
+import pathlib
+import tempfile
+import unittest
+from collections.abc import Mapping, Sequence
+
+from ragwortstand.tools.event_logs import TimedEvent, read_log
+from ragwortstand.tools.explain import explain
+from ragwortstand.tools.timeline import main
+
+_Log = Sequence[TimedEvent]
+
+
+def _event(
+    unix_s: float, host: str, name: str, **details: object
+) -> TimedEvent:
+    return TimedEvent(unix_s, host, f'ragwort:{name}', details)
+
+
+def _line(number: int, text: Sequence[str], wanted: str) -> int:
+    """Return where the wanted words stand, from a line on."""
+    found = [wanted in line for line in text]
+    return found.index(True, number)
+
+
+class OrderTests(unittest.TestCase):
+    """Cause goes before effect, whatever the clocks say."""
+
+    def test_attempts_stand_in_the_order_of_the_taking_daemon(self) -> None:
+        """A server's own account goes before the retry that follows it."""
+        taker: _Log = (
+            _event(10.0, 'a', 'retried', request='r', tried='b', attempt=1),
+            _event(10.1, 'a', 'refused', request='r', cause='overloaded'),
+        )
+        first: _Log = (_event(99.0, 'b', 'declined', request='r', cause='x'),)
+        second: _Log = (_event(1.0, 'c', 'declined', request='r', cause='y'),)
+        text = tuple(explain((second, taker, first), 'r'))
+        at = 0
+        for wanted in (
+            'b: declined',
+            'a: retried',
+            'c: declined',
+            'a: refused',
+        ):
+            at = _line(at, text, wanted) + 1
+
+    def test_beliefs_come_from_the_same_log_with_their_age(self) -> None:
+        """The newest line before the outcome counts, not one after it."""
+        taker: _Log = (
+            _event(1.0, 'a', 'applied', version=1),
+            _event(2.0, 'a', 'applied', version=2),
+            _event(4.5, 'a', 'refused', request='r'),
+            _event(5.0, 'a', 'applied', version=3),
+        )
+        text = '\n'.join(explain((taker,), 'r'))
+        self.assertIn('2.500 s before: a: applied version=2', text)
+        self.assertNotIn('version=1', text)
+        self.assertNotIn('version=3', text)
+
+    def test_a_clock_that_was_set_back_is_told(self) -> None:
+        """An age below zero is no age."""
+        taker: _Log = (
+            _event(100.0, 'a', 'applied', version=2),
+            _event(40.0, 'a', 'refused', request='r'),
+        )
+        self.assertIn('set back', '\n'.join(explain((taker,), 'r')))
+
+
+class MissingLinesTests(unittest.TestCase):
+    """What the logs don't tell is said."""
+
+    def _text(self, *events: TimedEvent) -> str:
+        return '\n'.join(explain((events,), 'r'))
+
+    def test_unknown_request(self) -> None:
+        """Nothing names it."""
+        text = self._text(_event(1, 'a', 'applied', version=1))
+        self.assertIn('no line of these logs names this request', text)
+
+    def test_restarted_daemon(self) -> None:
+        """A request without an outcome may have died with its daemon."""
+        text = self._text(
+            _event(1, 'a', 'listening', boot=1),
+            _event(2, 'a', 'retried', request='r', tried='b'),
+            _event(3, 'a', 'listening', boot=2),
+        )
+        self.assertIn('no line tells its outcome', text)
+        self.assertIn('a was started 2 times', text)
+
+    def test_suppressed_lines(self) -> None:
+        """The kind of the lines that were left out is named."""
+        text = self._text(
+            _event(1, 'a', 'refused', request='r'),
+            _event(2, 'a', 'declined', request='q', suppressed=7),
+        )
+        self.assertIn('a left out 7 lines: declined', text)
+
+
+class CommandTests(unittest.TestCase):
+    """The command line."""
+
+    def _run(self, *arguments: str) -> tuple[int, str]:
+        output = io.StringIO()
+        errors = io.StringIO()
+        with (
+            contextlib.redirect_stdout(output),
+            contextlib.redirect_stderr(errors),
+        ):
+            code = main(arguments)
+        return code, output.getvalue() + errors.getvalue()
+
+    def _log(self, folder: str, fields: Mapping[str, object]) -> pathlib.Path:
+        path = pathlib.Path(folder) / 'a.log'
+        path.write_text(f'noise\n12.3 a| {json.dumps(fields)}\n')
+        return path
+
+    def test_lines_behind_a_collectors_prefix_are_read(self) -> None:
+        """Text before the JSON object is skipped."""
+        fields = {'message_type': 'ragwort:refused', 'request': 'r'}
+        with tempfile.TemporaryDirectory() as folder:
+            path = self._log(folder, fields)
+            self.assertEqual(len(read_log(path)), 1)
+            code, text = self._run('explain', 'r', str(path))
+        self.assertEqual(code, 0)
+        self.assertIn('refused', text)
+
+    def test_missing_log(self) -> None:
+        """A file that is not there is named."""
+        code, text = self._run('explain', 'r', '/nonexistent/a.log')
+        self.assertNotEqual(code, 0)
+        self.assertIn('/nonexistent/a.log', text)
--- a/tests/test_tools.py
+++ b/tests/test_tools.py
@@ -12,15 +12,10 @@
 from ragwortstand.operators.cli import main as ctl_main
 from ragwortstand.peers.deltas import compress, decompress
 from ragwortstand.tools.audit import audit
+from ragwortstand.tools.event_logs import TimedEvent
 from ragwortstand.tools.load import Plan, Record, Stream, schedule
 from ragwortstand.tools.standin_backend import JournalLine
-from ragwortstand.tools.timeline import (
-    Filter,
-    TimedEvent,
-    crossings,
-    main,
-    render,
-)
+from ragwortstand.tools.timeline import Filter, crossings, main, render
 from tests.fakes import MESH
 
 _Command = Callable[[list[str]], int]
