--- a/src/ragwortstand/events.py
+++ b/src/ragwortstand/events.py
@@ -40,7 +40,6 @@
     LINK_RESET = 'ragwort:link-reset'
     PLATFORM_OUTAGE = 'ragwort:platform-outage'
     PLATFORM_BACK = 'ragwort:platform-back'
-    ROLE = 'ragwort:role'
     ANNOUNCEMENT_REFUSED = 'ragwort:announcement-refused'
     ROW_REFUSED = 'ragwort:row-refused'
     RELOADED = 'ragwort:reloaded'
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -100,12 +100,14 @@
 
 
 class ListLog:
-    """Event log that keeps the names of events."""
+    """Event log that keeps what it is told."""
 
     def __init__(self) -> None:
         """Start empty."""
         self.events: list[Event] = []
+        self.lines: list[dict[str, object]] = []
 
     def emit(self, event: Event, **fields: object) -> None:
-        """Keep the event."""
+        """Keep the event and its fields."""
         self.events.append(event)
+        self.lines.append(fields)
--- /dev/null
+++ b/tests/test_event_lines.py
@@ -0,0 +1,172 @@
+"""Every outcome and every change of belief has its line in the log."""
+
+import itertools
+import pathlib
+import random
+import re
+import unittest
+from typing import cast
+
+import anyio
+
+import ragwortstand
+from ragwortstand import clock
+from ragwortstand.backend_servers import (
+    Announcement,
+    BackendServer,
+    BackendState,
+)
+from ragwortstand.callers.dispatch import Dispatcher
+from ragwortstand.callers.proxy import Asked, Proxy
+from ragwortstand.callers.splits import WeightedSplits
+from ragwortstand.calls import Call
+from ragwortstand.events import Event
+from ragwortstand.http_server import CallerRequest
+from ragwortstand.ids import ServiceName, Version
+from ragwortstand.metrics import Metrics
+from ragwortstand.settings import parse_settings
+from ragwortstand.verdicts import (
+    Answered,
+    Cause,
+    Outcome,
+    Refused,
+    Unknown,
+    Verdict,
+)
+from ragwortstand.versions import Snapshot
+from tests.fakes import MESH, ListLog
+
+_SETTINGS = parse_settings(
+    '{"cluster":"c","host":"h","region":"r","availability_zone":"z",'
+    '"admin":{"token":"0123456789abcdef"},'
+    '"platform":{"url":"http://127.0.0.1:1","region":"r"}}',
+)
+_VERSION = Version(7)
+_LINES = {
+    Verdict.RAN: Event.SERVED,
+    Verdict.NOT_RUN: Event.REFUSED,
+    Verdict.MAY_HAVE_RUN: Event.UNKNOWN,
+}
+_OUTCOMES: tuple[Outcome, ...] = (
+    Answered(200, (), b''),
+    Answered(500, (), b''),
+    *itertools.chain.from_iterable(
+        (Refused(cause, 0.25), Unknown(cause)) for cause in Cause
+    ),
+)
+
+
+class _Dialect:
+    """Headers that say nothing but the id."""
+
+    def read(self, request: CallerRequest) -> Asked | Refused:
+        return Asked('r-1', '', request.target, None, ())
+
+    def render(self, outcome: Outcome, request_id: str) -> Answered:
+        return Answered(200, (), b'')
+
+
+class _Dispatcher:
+    """Ends every request with one outcome."""
+
+    def __init__(self, outcome: Outcome) -> None:
+        self._outcome = outcome
+
+    async def dispatch(self, call: Call) -> Outcome:
+        return self._outcome
+
+
+def _request(target: str) -> CallerRequest:
+    return CallerRequest('GET', target, (), b'', clock.now_s())
+
+
+class OutcomeLineTests(unittest.TestCase):
+    """The daemon that took a request tells how it ended."""
+
+    def setUp(self) -> None:
+        """Start without lines."""
+        self.log = ListLog()
+
+    def _answer(self, outcome: Outcome, target: str = '/slips') -> None:
+        proxy = Proxy(
+            lambda: Snapshot(_VERSION, MESH, b''),
+            cast(Dispatcher, _Dispatcher(outcome)),
+            _Dialect(),
+            WeightedSplits(random.Random(1)),
+            Metrics(),
+            self.log,
+        )
+        anyio.run(proxy.answer, _request(target))
+
+    def test_each_outcome_has_one_line_with_its_inputs(self) -> None:
+        """A new verdict or cause can't be left out."""
+        for outcome in _OUTCOMES:
+            with self.subTest(outcome=outcome):
+                self.log = ListLog()
+                self._answer(outcome)
+                self._check(outcome)
+
+    def test_a_request_without_a_route_has_its_line(self) -> None:
+        """It is refused before it is dispatched."""
+        self._answer(Answered(200, (), b''), '/nowhere')
+        self.assertEqual(self.log.events, [Event.REFUSED])
+        fields = self.log.lines[0]
+        self.assertEqual(fields['cause'], Cause.NO_ROUTE.value)
+        self.assertEqual(fields['request'], 'r-1')
+
+    def _check(self, outcome: Outcome) -> None:
+        self.assertEqual(self.log.events, [_LINES[outcome.verdict]])
+        fields = self.log.lines[0]
+        cause = '' if isinstance(outcome, Answered) else outcome.cause.value
+        self.assertEqual(fields['cause'], cause)
+        self.assertEqual(fields['request'], 'r-1')
+        self.assertEqual(fields['version'], _VERSION)
+        self.assertEqual(fields['rank'], 'urgent')
+
+
+class BeliefLineTests(unittest.TestCase):
+    """Changes of what a daemon believes."""
+
+    def test_each_state_of_the_backend_server_has_its_line(self) -> None:
+        """It comes, drains, comes back, falls silent and is forgotten."""
+        log = ListLog()
+        server = BackendServer(_SETTINGS, log)
+        for is_draining in (False, True, False):
+            anyio.run(
+                server.announce,
+                Announcement(
+                    instance='i',
+                    service=ServiceName('consult'),
+                    address='127.0.0.1',
+                    port=1,
+                    slots=4,
+                    connections=4,
+                    is_draining=is_draining,
+                ),
+                clock.now_s(),
+            )
+        server.expire(clock.now_s() + 60)
+        told = {fields['state'] for fields in log.lines}
+        reachable = set(BackendState) - {BackendState.ABSENT}
+        self.assertEqual(told, {state.value for state in reachable})
+
+
+class EventNameTests(unittest.TestCase):
+    """Names of events."""
+
+    def test_each_event_is_written_somewhere(self) -> None:
+        """A name that nothing writes would never be found in a log."""
+        root = pathlib.Path(ragwortstand.__file__).parent
+        written = {
+            name
+            for path in root.rglob('*.py')
+            if path.name != 'events.py' and 'tools' not in path.parts
+            for name in re.findall(r'Event\.([A-Z_]+)', path.read_text())
+        }
+        self.assertEqual({event.name for event in Event} - written, set())
+
+    def test_names_are_unique_and_marked(self) -> None:
+        """All start alike, so that one search finds them."""
+        names = {event.value for event in Event}
+        self.assertEqual(len(names), len(Event))
+        self.assertTrue(all(name.startswith('ragwort:') for name in names))
