Keep outcomes of forwarded work without a cost for each request

Cause: each forwarded request copied the list of all outcomes of the last five seconds, and each cancellation went through it. Ruled out, with the log of all daemons: cut links (only three machines looked silent, to all others, and those were the ones with the flooded service), and work that waits behind its cancellation (the process itself did nothing).

Change: outcomes are found by request and dropped in the order of their end. Links tell silence by unanswered beats, not by replies to earlier work, as a cut may hold up one direction only; no work is sent over a silent link.

The frames and the listener are modules of their own.

--- a/src/ragwortstand/events.py
+++ b/src/ragwortstand/events.py
@@ -37,6 +37,8 @@
     MEMBER = 'ragwort:member'
     BACKEND_SERVER = 'ragwort:backend-server'
     PEER_MESSAGE_REFUSED = 'ragwort:peer-message-refused'
+    LINK_SILENT = 'ragwort:link-silent'
+    LINK_BACK = 'ragwort:link-back'
     LINK_RESET = 'ragwort:link-reset'
     PLATFORM_OUTAGE = 'ragwort:platform-outage'
     PLATFORM_BACK = 'ragwort:platform-back'
--- a/src/ragwortstand/exceptions.py
+++ b/src/ragwortstand/exceptions.py
@@ -72,10 +72,6 @@
         self.verdict = verdict
 
 
-class PeerSilentError(PeerError):
-    """Nothing was heard from a daemon, not even a sign of life."""
-
-
 class BackendServerError(RagwortstandError):
     """An exchange with a backend server failed.
 
--- a/src/ragwortstand/peers/forwarding.py
+++ b/src/ragwortstand/peers/forwarding.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Protocol
@@ -14,7 +15,7 @@
 from ragwortstand.backend_servers import Load
 from ragwortstand.calls import Call
 from ragwortstand.events import Event, EventLog, NullLog
-from ragwortstand.exceptions import PeerError, PeerSilentError
+from ragwortstand.exceptions import PeerError
 from ragwortstand.ids import IdempotencyKey, RequestId, Version
 from ragwortstand.models import Rank, Service
 from ragwortstand.peers.messages import (
@@ -115,7 +116,6 @@
                 )
             except PeerError as error:
                 if not _may_resend(error, call, member, resends):
-                    self._give_up(error, call, member)
                     return Attempt(_outcome_of_error(error, call, resends), 0)
                 resends += 1
                 continue
@@ -123,11 +123,6 @@
                 return Attempt(Unknown(Cause.INTERNAL), 0)
             return Attempt(outcome_of(reply), reply.busy)
 
-    def _give_up(self, error: PeerError, call: Call, member: Member) -> None:
-        """Keep a copy from running once a silent link recovers."""
-        if isinstance(error, PeerSilentError):
-            self._cancel(call, member)
-
     def _cancel(self, call: Call, member: Member) -> None:
         if self._tasks:
             self._tasks.start_soon(self._send_cancel, call, member)
@@ -151,7 +146,6 @@
     result: 'asyncio.Task[WorkDone]'
     waiters: int = 0
     scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
-    ended_at_s: float = 0.0
 
 
 class ForwardedWork:
@@ -181,17 +175,20 @@
         self._is_leaving = is_leaving
         self._boot = boot
         self._log = log or NullLog()
-        self._runs: dict[tuple[RequestId, int], _Run] = {}
+        # By request, then by attempt.
+        self._runs: dict[RequestId, dict[int, _Run]] = {}
+        # Requests by the end of a run of theirs, the earliest first.
+        self._ended: deque[tuple[float, RequestId, int]] = deque()
+        self._in_flight = 0
 
     @property
     def in_flight(self) -> int:
         """Return how many forwarded requests are under way."""
-        return sum(not run.result.done() for run in self._runs.values())
+        return self._in_flight
 
     async def run(self, work: Work) -> WorkDone:
         """Run a forwarded request and return its outcome."""
-        key = (work.request_id, work.attempt)
-        run = self._runs.get(key)
+        run = self._runs.get(work.request_id, {}).get(work.attempt)
         if run is None:
             if work.is_resent and work.boot != self._boot:
                 return work_done(Unknown(Cause.PEER_UNREACHABLE), 0)
@@ -209,9 +206,8 @@
 
     def cancel(self, request: CancelWork) -> Done:
         """Cancel a request whose caller has gone."""
-        for (request_id, _), run in self._runs.items():
-            if request_id == request.request_id:
-                run.scope.cancel()
+        for run in self._runs.get(request.request_id, {}).values():
+            run.scope.cancel()
         return Done()
 
     def _begin(self, work: Work) -> _Run:
@@ -221,12 +217,14 @@
             self._execute(work, scope)
         )
         run = _Run(task, scope=scope)
-        task.add_done_callback(lambda _: self._end(run))
-        self._runs[work.request_id, work.attempt] = run
+        self._in_flight += 1
+        task.add_done_callback(lambda _: self._end(work))
+        self._runs.setdefault(work.request_id, {})[work.attempt] = run
         return run
 
-    def _end(self, run: _Run) -> None:
-        run.ended_at_s = clock.now_s()
+    def _end(self, work: Work) -> None:
+        self._in_flight -= 1
+        self._ended.append((clock.now_s(), work.request_id, work.attempt))
 
     async def _execute(
         self,
@@ -255,16 +253,17 @@
 
     def _forget(self, now_s: float) -> None:
         """Drop old outcomes; nobody asks for them any more."""
-        for key, run in tuple(self._runs.items()):
-            if not run.result.done():
-                continue
-            if now_s - run.ended_at_s < _KEEP_OUTCOME_S:
-                return
-            self._runs.pop(key)
+        while self._ended and now_s - self._ended[0][0] > _KEEP_OUTCOME_S:
+            _, request_id, attempt = self._ended.popleft()
+            runs = self._runs[request_id]
+            runs.pop(attempt)
+            if not runs:
+                self._runs.pop(request_id)
 
     def _call(self, work: Work) -> Call:
         snapshot = self._snapshot()
         rank = snapshot.rank(work.rank) if snapshot else None
+        service = snapshot.services.get(work.service) if snapshot else None
         now_s = clock.now_s()
         return Call(
             request_id=work.request_id,
@@ -272,7 +271,7 @@
             target=work.target,
             headers=work.headers,
             body=work.body,
-            service=Service(name=work.service),
+            service=service or Service(name=work.service),
             rank=rank or Rank(name=work.rank),
             is_idempotent=work.is_idempotent,
             deadline_s=now_s + work.remaining_s,
@@ -317,8 +316,6 @@
 ) -> bool:
     if error.verdict is Verdict.NOT_RUN or not member.boot:
         return False
-    if isinstance(error, PeerSilentError):
-        return False
     if resends >= _MAX_RESENDS:
         return False
     return call.remaining_s(clock.now_s()) > _MIN_RESEND_S
--- a/src/ragwortstand/peers/shared_budget.py
+++ b/src/ragwortstand/peers/shared_budget.py
@@ -144,7 +144,5 @@
 
 
 def _has_time(call: Call, now_s: float) -> bool:
-    if call.goal_s is None:
-        return call.remaining_s(now_s) > 0
     waited_s = now_s - call.began_at_s
-    return waited_s < (call.goal_s - call.began_at_s) * _SEARCH_PART
+    return waited_s < call.rank.target_s * _SEARCH_PART
--- a/src/ragwortstand/peers/streams.py
+++ b/src/ragwortstand/peers/streams.py
@@ -1,26 +1,23 @@
 """ragwortstand.peers.streams: links to other daemons over plain streams.
 
 One connection for each peer and direction carries many requests at once.
-Each frame has a length, a kind, a number and a body; a reply bears the number
-of its request. A link on which nothing is heard while requests wait is
-checked with beats and reset when those are not answered either.
+While requests wait for long, beats tell whether the link still carries
+anything: no more work is sent over a silent one, and then it is reset.
 """
 
 import asyncio
-import enum
-import socket
-import struct
-from collections.abc import Awaitable, Callable, Iterable
-from typing import NamedTuple, TypeAlias, cast
+from collections.abc import Callable
+from typing import NamedTuple, cast
 
 import anyio
 import msgspec
 
 from ragwortstand import clock
 from ragwortstand.events import Event, EventLog
-from ragwortstand.exceptions import PeerError, PeerSilentError
+from ragwortstand.exceptions import PeerError
 from ragwortstand.ids import HostId, PeerAddress
 from ragwortstand.metrics import Metrics
+from ragwortstand.peers.frames import FrameKind, Frames
 from ragwortstand.peers.messages import (
     Envelope,
     Refusal,
@@ -28,13 +25,10 @@
     Request,
     Work,
     WorkDone,
-    decode_envelope,
     decode_reply,
     encode,
-    work_done,
 )
-from ragwortstand.sockets import Vigilance, watch_connection
-from ragwortstand.verdicts import Cause, Unknown, Verdict
+from ragwortstand.verdicts import Verdict
 
 #: Time to open a connection: several round trips of 24 ms between regions. A
 #: lost first packet is repeated after 1 s only, which no request waits for.
@@ -42,97 +36,26 @@
 # A peer that does not accept is not dialled again for this long, so that
 # requests are refused at once and go elsewhere.
 _REDIAL_PAUSE_S = 0.3
-# Silence while requests wait, after which a beat asks for a sign of life:
-# the peer answers it at once, whatever its backend server does.
+# Time that a request has waited after which a beat asks for a sign of life; the
+# peer answers it at once, whatever its backend server does.
 _BEAT_AFTER_S = 0.2
-# Silence after which no more work is sent over the link: beyond a beat, half
-# a retransmission timeout of TCP (0.2 s) and a round trip between regions.
-_SILENT_AFTER_S = 0.4
-# Silence after which the link is reset: several retransmissions.
-_DEAD_AFTER_S = 0.9
+# Time without an answer to a beat after which no more work is sent over the
+# link: beyond a retransmission timeout of TCP (0.2 s) and a round trip between
+# regions, so that a single lost packet does not count.
+_SILENT_AFTER_S = 0.3
+# The same after which the link is reset: several retransmissions.
+_DEAD_AFTER_S = 0.8
 _WATCH_S = 0.1
-# An unused link that fails is noticed by the probes; sent bytes may stay
-# unacknowledged for several retransmissions between regions.
-_VIGILANCE = Vigilance(idle_s=2, probes=2, unacknowledged_ms=2000)
-_HEADER = struct.Struct('!IBI')
-_BACKLOG = 512
-
-
-class FrameKind(enum.IntEnum):
-    """What a frame carries."""
-
-    REQUEST = 1
-    REPLY = 2
-    BEAT = 3
-    BEAT_REPLY = 4
-
-
-class _Frames(asyncio.Protocol):
-    """Cuts the bytes of a connection into frames."""
-
-    def __init__(self, max_frame_bytes: int) -> None:
-        self._max_frame_bytes = max_frame_bytes
-        self._buffer = bytearray()
-        self.transport: asyncio.Transport | None = None
-        self.heard_at_s = clock.now_s()
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self.transport = cast(asyncio.Transport, transport)
-        watch_connection(transport.get_extra_info('socket'), _VIGILANCE)
-
-    def data_received(self, data: bytes) -> None:
-        self.heard_at_s = clock.now_s()
-        buffer = self._buffer
-        buffer += data
-        start = 0
-        while len(buffer) - start >= _HEADER.size:
-            size, kind, number = _HEADER.unpack_from(buffer, start)
-            if size > self._max_frame_bytes:
-                self.abort()
-                return
-            end = start + _HEADER.size + size
-            if len(buffer) < end:
-                break
-            body = bytes(buffer[start + _HEADER.size : end])
-            start = end
-            self.on_frame(kind, number, body)
-        self._buffer = buffer[start:]
-
-    def send(self, kind: FrameKind, number: int, body: bytes = b'') -> None:
-        if self.transport is not None and not self.transport.is_closing():
-            header = _HEADER.pack(len(body), kind, number)
-            self.transport.write(header + body)
-
-    def on_frame(self, kind: int, number: int, body: bytes) -> None:
-        raise NotImplementedError
-
-    def abort(self) -> None:
-        """Reset the connection, so that bytes under way are not delivered.
-
-        A request that was given up must not arrive when the network heals.
-        """
-        transport = self.transport
-        if transport is None or transport.is_closing():
-            return
-        connection = transport.get_extra_info('socket')
-        if connection is not None:
-            linger = struct.pack('ii', 1, 0)
-            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-        transport.abort()
 
 
 class _Waiting(NamedTuple):
-    """A request whose reply is awaited.
-
-    :param reply: the reply, once it is there.
-    :param is_patient: wait for the reply also while the link is silent.
-    """
+    """A request whose reply is awaited."""
 
     reply: 'asyncio.Future[bytes]'
-    is_patient: bool
+    asked_at_s: float
 
 
-class _Dialled(_Frames):
+class _Dialled(Frames):
     """The asking end of a connection."""
 
     def __init__(self, max_frame_bytes: int) -> None:
@@ -140,21 +63,14 @@
         self.waiting: dict[int, _Waiting] = {}
         self.is_lost = False
         self._number = 0
+        self._beat_at_s: float | None = None
 
-    async def ask(
-        self,
-        wire: bytes,
-        timeout_s: float,
-        is_patient: bool,
-    ) -> bytes:
-        now_s = clock.now_s()
-        if not self.waiting:
-            self.heard_at_s = now_s
+    async def ask(self, wire: bytes, timeout_s: float) -> bytes:
         self._number += 1
         number = self._number
         loop = asyncio.get_running_loop()
         reply = loop.create_future()
-        self.waiting[number] = _Waiting(reply, is_patient)
+        self.waiting[number] = _Waiting(reply, clock.now_s())
         timer = loop.call_later(timeout_s, _expire, reply, timeout_s)
         try:
             self.send(FrameKind.REQUEST, number, wire)
@@ -163,13 +79,17 @@
             timer.cancel()
             self.waiting.pop(number, None)
 
-    def is_silent(self, now_s: float) -> bool:
-        """Tell whether requests wait and nothing was heard for long."""
-        return bool(self.waiting) and (
-            now_s - self.heard_at_s > _SILENT_AFTER_S
-        )
+    def silent_s(self, now_s: float) -> float:
+        """Return how long a beat has been without an answer.
+
+        :param now_s: present time.
+        """
+        return 0.0 if self._beat_at_s is None else now_s - self._beat_at_s
 
     def on_frame(self, kind: int, number: int, body: bytes) -> None:
+        if kind == FrameKind.BEAT_REPLY:
+            self._beat_at_s = None
+            return
         waiting = self.waiting.get(number)
         if kind == FrameKind.REPLY and waiting and not waiting.reply.done():
             waiting.reply.set_result(body)
@@ -177,33 +97,24 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self.is_lost = True
         error = PeerError(f'link lost: {exc}', Verdict.MAY_HAVE_RUN)
-        self._fail(error, self.waiting.values())
+        for waiting in self.waiting.values():
+            if not waiting.reply.done():
+                waiting.reply.set_exception(error)
+
+    def check(self, now_s: float) -> None:
+        """Send a beat when a request has waited for long.
 
-    def check(self, now_s: float) -> bool:
-        """Ask for a sign of life; return False when there was none.
+        Replies to earlier requests tell nothing, as a cut may hold up one
+        direction only; a beat comes after all that was sent before it.
 
         :param now_s: present time.
         """
-        silent_s = now_s - self.heard_at_s
-        if not self.waiting or silent_s < _BEAT_AFTER_S:
-            return True
-        if silent_s > _DEAD_AFTER_S:
-            return False
-        if self.is_silent(now_s):
-            error = PeerSilentError('link is silent', Verdict.MAY_HAVE_RUN)
-            impatient = [
-                waiting
-                for waiting in self.waiting.values()
-                if not waiting.is_patient
-            ]
-            self._fail(error, impatient)
-        self.send(FrameKind.BEAT, 0)
-        return True
-
-    def _fail(self, error: PeerError, waiting: Iterable[_Waiting]) -> None:
-        for one in waiting:
-            if not one.reply.done():
-                one.reply.set_exception(error)
+        if self._beat_at_s is not None or not self.waiting:
+            return
+        oldest = next(iter(self.waiting.values()))
+        if now_s - oldest.asked_at_s >= _BEAT_AFTER_S:
+            self._beat_at_s = now_s
+            self.send(FrameKind.BEAT, 0)
 
 
 class StreamLinks:
@@ -243,6 +154,7 @@
         self._scope_of = scope_of
         self._dialled: dict[PeerAddress, _Dialled] = {}
         self._dialling: dict[PeerAddress, anyio.Lock] = {}
+        self._silent: set[PeerAddress] = set()
         self._refused_until_s: dict[PeerAddress, float] = {}
 
     async def ask(
@@ -257,20 +169,16 @@
         :param request: the request.
         :param timeout_s: time to wait for the reply.
         :raises PeerError: when there is no usable reply in time. Work is not
-            sent over a link that is silent, and work that may be repeated
-            does not wait for one.
+            sent over a link that is silent.
         """
         wire = encode(Envelope(self._cluster, self._host, request))
         link = await self._link(
             address, min(timeout_s, self._connect_timeout_s)
         )
-        is_patient = True
-        if isinstance(request, Work):
-            if link.is_silent(clock.now_s()):
-                raise PeerSilentError('link is silent', Verdict.NOT_RUN)
-            is_patient = not request.is_idempotent
+        if isinstance(request, Work) and address in self._silent:
+            raise PeerError('link is silent', Verdict.NOT_RUN)
         self._count(address, request, len(wire), 'sent')
-        answer = await link.ask(wire, timeout_s, is_patient=is_patient)
+        answer = await link.ask(wire, timeout_s)
         try:
             reply = decode_reply(answer)
         except msgspec.DecodeError as error:
@@ -282,14 +190,13 @@
         return reply
 
     async def run(self) -> None:
-        """Reset links that have gone silent, until cancelled."""
+        """Watch for links that have gone silent, until cancelled."""
         while True:
             await anyio.sleep(_WATCH_S)
             now_s = clock.now_s()
             for address, link in tuple(self._dialled.items()):
-                if not link.check(now_s):
-                    self._log.emit(Event.LINK_RESET, peer=address)
-                    self._drop(address)
+                link.check(now_s)
+                self._judge(address, link.silent_s(now_s))
 
     def forget(self, address: PeerAddress) -> None:
         """Close the link to a peer that departed."""
@@ -302,6 +209,18 @@
         for address in tuple(self._dialled):
             self._drop(address)
 
+    def _judge(self, address: PeerAddress, silent_s: float) -> None:
+        """Act on the time for which a link has been silent."""
+        if silent_s > _DEAD_AFTER_S:
+            self._log.emit(Event.LINK_RESET, peer=address, silent_s=silent_s)
+            self._drop(address)
+        elif silent_s > _SILENT_AFTER_S and address not in self._silent:
+            self._silent.add(address)
+            self._log.emit(Event.LINK_SILENT, peer=address, silent_s=silent_s)
+        elif not silent_s and address in self._silent:
+            self._silent.discard(address)
+            self._log.emit(Event.LINK_BACK, peer=address)
+
     async def _link(self, address: PeerAddress, timeout_s: float) -> _Dialled:
         lock = self._dialling.setdefault(address, anyio.Lock())
         async with lock:
@@ -331,6 +250,7 @@
 
     def _drop(self, address: PeerAddress) -> None:
         link = self._dialled.pop(address, None)
+        self._silent.discard(address)
         if link:
             link.abort()
 
@@ -349,105 +269,6 @@
         counter.inc(size_bytes)
 
 
-Handler: TypeAlias = Callable[[HostId, Request], Awaitable[Reply]]
-
-
-class _Accepted(_Frames):
-    """The answering end of a connection."""
-
-    def __init__(self, listener: 'StreamListener') -> None:
-        super().__init__(listener.max_message_bytes)
-        self._listener = listener
-        listener.connections.add(self)
-        self._tasks: set[asyncio.Task[None]] = set()
-
-    def on_frame(self, kind: int, number: int, body: bytes) -> None:
-        if kind == FrameKind.BEAT:
-            self.send(FrameKind.BEAT_REPLY, number)
-        elif kind == FrameKind.REQUEST:
-            loop = asyncio.get_running_loop()
-            task = loop.create_task(self._answer(number, body))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        self._listener.connections.discard(self)
-        for task in self._tasks:
-            task.cancel()
-
-    async def _answer(self, number: int, body: bytes) -> None:
-        reply = await self._listener.answer(body)
-        self.send(FrameKind.REPLY, number, encode(reply))
-
-
-class StreamListener:
-    """Answers requests from other daemons; one task for each request.
-
-    :param cluster: requests of other clusters are refused.
-    :param max_message_bytes: limit of a request.
-    :param metrics: counts refused messages.
-    :param log: tells of refused messages.
-    """
-
-    def __init__(
-        self,
-        cluster: str,
-        max_message_bytes: int,
-        metrics: Metrics,
-        log: EventLog,
-    ) -> None:
-        """Keep the collaborators."""
-        self._cluster = cluster
-        self._metrics = metrics
-        self._log = log
-        self._handler: Handler | None = None
-        self.max_message_bytes = max_message_bytes
-        self.connections: set[_Accepted] = set()
-
-    async def serve(self, listener: socket.socket, handler: Handler) -> None:
-        """Answer requests until cancelled.
-
-        :param listener: a bound socket.
-        :param handler: returns the reply to a request.
-        """
-        self._handler = handler
-        loop = asyncio.get_running_loop()
-        server = await loop.create_server(
-            lambda: _Accepted(self), sock=listener, backlog=_BACKLOG
-        )
-        try:
-            await anyio.sleep_forever()
-        finally:
-            server.close()
-            for connection in tuple(self.connections):
-                connection.abort()
-
-    async def answer(self, wire: bytes) -> Reply:
-        """Return the reply to an encoded request.
-
-        :param wire: the encoded envelope.
-        """
-        try:
-            envelope = decode_envelope(wire)
-        except msgspec.DecodeError as error:
-            return self._refuse('malformed', f'malformed message: {error}')
-        if envelope.cluster != self._cluster or self._handler is None:
-            problem = f'this is not cluster {envelope.cluster!r}'
-            return self._refuse('cluster', problem)
-        try:
-            return await self._handler(envelope.sender, envelope.request)
-        except Exception as error:
-            refusal = self._refuse('internal', repr(error))
-        if isinstance(envelope.request, Work):
-            return work_done(Unknown(Cause.INTERNAL), 0)
-        return refusal
-
-    def _refuse(self, cause: str, problem: str) -> Refusal:
-        self._metrics.peer_errors.labels(cause).inc()
-        self._log.emit(Event.PEER_MESSAGE_REFUSED, problem=problem)
-        return Refusal(problem)
-
-
 def _expire(reply: 'asyncio.Future[bytes]', timeout_s: float) -> None:
     if not reply.done():
         problem = f'no answer in {timeout_s:g} s'
--- a/src/ragwortstand/sidecar.py
+++ b/src/ragwortstand/sidecar.py
@@ -52,7 +52,8 @@
 from ragwortstand.peers.scopes import LinkScopes
 from ragwortstand.peers.shared_budget import SharedBudgetRetries
 from ragwortstand.peers.store_watch import StoreWatch
-from ragwortstand.peers.streams import StreamLinks, StreamListener
+from ragwortstand.peers.stream_listener import StreamListener
+from ragwortstand.peers.streams import StreamLinks
 from ragwortstand.peers.version_sources import DistributionPolicy
 from ragwortstand.settings import Listen
 from ragwortstand.sidecar_parts import Parts, SidecarSettings
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -26,8 +26,10 @@
     Request,
     Work,
 )
-from ragwortstand.peers.streams import StreamLinks, StreamListener
+from ragwortstand.peers.stream_listener import StreamListener
+from ragwortstand.peers.streams import StreamLinks
 from ragwortstand.sockets import bind, port_of
+from ragwortstand.tools.model import run_in_virtual_time
 from ragwortstand.verdicts import (
     Answered,
     Cause,
@@ -105,6 +107,12 @@
             assert accepted.transport
             accepted.transport.pause_reading()
 
+    def speak(self) -> None:
+        """Read again."""
+        for accepted in self.listener.connections:
+            assert accepted.transport
+            accepted.transport.resume_reading()
+
     def member(self) -> Member:
         known = member('b')
         return Member(
@@ -127,6 +135,22 @@
         )
 
 
+def _work(name: str) -> Work:
+    return Work(
+        request_id=RequestId(name),
+        method='GET',
+        target='/',
+        headers=(),
+        body=b'',
+        service='s',
+        rank='r',
+        is_idempotent=True,
+        remaining_s=5.0,
+        version=Version(1),
+        attempt=1,
+    )
+
+
 class _Fixture:
     def __init__(self) -> None:
         self.peer = _Peer()
@@ -142,13 +166,7 @@
         )
         self.forwarder = Forwarder(self.links)
 
-    async def forward(
-        self,
-        name: str,
-        budget_s: float = 2.0,
-        *,
-        is_idempotent: bool = False,
-    ) -> Outcome:
+    async def forward(self, name: str, budget_s: float = 2.0) -> Outcome:
         call = Call(
             request_id=RequestId(name),
             method='POST',
@@ -157,7 +175,7 @@
             body=b'body',
             service=Service(name='s'),
             rank=Rank(name='r'),
-            is_idempotent=is_idempotent,
+            is_idempotent=False,
             deadline_s=clock.now_s() + budget_s,
             version=Version(1),
         )
@@ -305,19 +323,7 @@
         self,
     ) -> None:
         peer = _Peer()
-        work = Work(
-            RequestId('late'),
-            'GET',
-            '/',
-            (),
-            b'',
-            's',
-            'r',
-            True,
-            1.0,
-            Version(1),
-            1,
-        )
+        work = _work('late')
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(peer.handle, HostId('a'), work)
             tasks.start_soon(
@@ -332,38 +338,102 @@
             self.assertEqual(outcome, Refused(Cause.LEAVING))
 
 
+class KeptOutcomeTests(unittest.TestCase):
+    """How long a daemon remembers what it ran for others."""
+
+    def _ran_after(self, pause_s: float) -> list[str]:
+        """Send work, other work after a pause, and the first again."""
+
+        async def play() -> list[str]:
+            peer = _Peer()
+            await peer.handle(HostId('a'), _work('kept'))
+            await anyio.sleep(pause_s)
+            await peer.handle(HostId('a'), _work('other'))
+            await peer.handle(HostId('a'), _work('kept'))
+            peer.socket.close()
+            self.assertEqual(peer.work.in_flight, 0)
+            return peer.runner.ran
+
+        return run_in_virtual_time(play)
+
+    def test_a_copy_within_seconds_gets_the_outcome(self) -> None:
+        """A sender may ask for it until its time is over."""
+        self.assertEqual(self._ran_after(4.0), ['kept', 'other'])
+
+    def test_outcomes_do_not_pile_up(self) -> None:
+        """Nobody asks for them later."""
+        self.assertEqual(self._ran_after(6.0), ['kept', 'other', 'kept'])
+
+    def test_cancellation_ends_no_other_request(self) -> None:
+        """It names one."""
+
+        async def play() -> None:
+            peer = _Peer()
+            peer.runner.delay_s = 1.0
+            async with anyio.create_task_group() as tasks:
+                for name in ('left', 'stays'):
+                    tasks.start_soon(peer.handle, HostId('a'), _work(name))
+                await anyio.sleep(0.5)
+                peer.work.cancel(CancelWork(RequestId('left')))
+                await anyio.sleep(0.1)
+                self.assertEqual(peer.runner.cancelled, 1)
+                self.assertEqual(peer.work.in_flight, 1)
+            peer.socket.close()
+
+        run_in_virtual_time(play)
+
+
 class SilentLinkTests(unittest.IsolatedAsyncioTestCase):
     """Work whose link is cut without a reset."""
 
-    async def _elapsed_s(self, fixture: _Fixture, expected: Outcome) -> float:
-        """Forward idempotent work; return the time to its outcome."""
-        started_s = clock.now_s()
-        outcome = await fixture.forward('asked', is_idempotent=True)
-        self.assertEqual(outcome, expected)
-        return clock.now_s() - started_s
-
-    async def test_repeatable_work_does_not_wait_for_the_link(self) -> None:
+    async def test_no_work_is_sent_into_the_silence(self) -> None:
+        """It is refused as not run, and goes elsewhere."""
         async with _fixture() as fixture:
             await fixture.links.ask(fixture.peer.address, AskApplied(), 1)
             fixture.peer.fall_silent()
-            unknown = Unknown(Cause.PEER_UNREACHABLE)
-            taken_s = await self._elapsed_s(fixture, unknown)
-            self.assertLess(taken_s, 0.7)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(fixture.forward, 'first')
+                await anyio.sleep(0.75)
+                self.assertIn(Event.LINK_SILENT, fixture.log.events)
+                started_s = clock.now_s()
+                outcome = await fixture.forward('second')
+                self.assertEqual(outcome, Refused(Cause.PEER_UNREACHABLE))
+                self.assertLess(clock.now_s() - started_s, 0.1)
+                tasks.cancel_scope.cancel()
 
-    async def test_no_work_is_sent_into_the_silence(self) -> None:
+    async def test_replies_to_earlier_work_do_not_hide_a_one_way_cut(
+        self,
+    ) -> None:
+        """Only the answer to a beat shows that requests still arrive."""
+        async with _fixture() as fixture:
+            fixture.peer.runner.delay_s = 0.6
+            async with anyio.create_task_group() as tasks:
+                for number in range(6):
+                    tasks.start_soon(fixture.forward, f'earlier {number}')
+                    await anyio.sleep(0.05)
+                fixture.peer.fall_silent()
+                tasks.start_soon(fixture.forward, 'held up')
+                await anyio.sleep(0.75)
+                self.assertIn(Event.LINK_SILENT, fixture.log.events)
+                tasks.cancel_scope.cancel()
+
+    async def test_link_recovers(self) -> None:
+        """An answered beat opens it again."""
         async with _fixture() as fixture:
             await fixture.links.ask(fixture.peer.address, AskApplied(), 1)
             fixture.peer.fall_silent()
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(fixture.forward, 'first')
-                await anyio.sleep(0.5)
-                refused = Refused(Cause.PEER_UNREACHABLE)
-                taken_s = await self._elapsed_s(fixture, refused)
-                self.assertLess(taken_s, 0.1)
-                tasks.cancel_scope.cancel()
+                await anyio.sleep(0.75)
+                fixture.peer.speak()
+                await anyio.sleep(0.25)
+                outcome = await fixture.forward('second')
+            self.assertEqual(outcome, Answered(200, (), b'body'))
+            self.assertIn(Event.LINK_BACK, fixture.log.events)
 
     async def test_long_work_of_a_live_peer_is_waited_for(self) -> None:
         async with _fixture() as fixture:
             fixture.peer.runner.delay_s = 0.8
-            answered = Answered(200, (), b'body')
-            await self._elapsed_s(fixture, answered)
+            outcome = await fixture.forward('long')
+            self.assertEqual(outcome, Answered(200, (), b'body'))
+            self.assertNotIn(Event.LINK_SILENT, fixture.log.events)
