Serve new requests before those that came back, and tell a true time

Cause: a caller that comes back after a refusal was taken for a new one, with a whole goal ahead, and displaced requests that could still meet theirs. Refusals asked to come back before the backlog was served.

Change: the daemon tells the age of a request from its time budget, the rest of the round budget that first requests bear; the goal counts from there. What is late already gets slots that nothing else needs. Retry-After is the time until the present backlog is served.

A model plays load patterns in virtual time with the real dispatcher, choice, retries, forwarding and admission; ragwort-load model compares the policy with its baseline.

--- a/src/ragwortstand/backend_servers/goals.py
+++ b/src/ragwortstand/backend_servers/goals.py
@@ -112,7 +112,7 @@
             finish_s = now_s + wait_s + line.service_s(now_s) * _LONG_WORK
             late_s = finish_s - min(goal_s, deadline_s)
             if late_s > 0:
-                return _refusal(late_s)
+                return _refusal(wait_s)
         line.queue.append(ticket)
         self._grant(now_s)
         return ticket
@@ -208,13 +208,14 @@
                 late_s = now_s + service_s - ticket.goal_s
                 if late_s <= 0 or not any(one.queue for one in lines):
                     return ticket
-                ticket.refusal = _refusal(late_s)
+                ticket.refusal = _refusal(self._wait_s(line, now_s))
                 ticket.granted.set()
         return None
 
 
-def _refusal(late_s: float) -> Refused:
-    return Refused(Cause.OVERLOADED, max(_MIN_RETRY_AFTER_S, late_s))
+def _refusal(wait_s: float) -> Refused:
+    """Refuse until what waits now has been served."""
+    return Refused(Cause.OVERLOADED, max(_MIN_RETRY_AFTER_S, wait_s))
 
 
 def _by_order(line: _Line) -> int:
--- a/src/ragwortstand/callers/proxy.py
+++ b/src/ragwortstand/callers/proxy.py
@@ -7,6 +7,7 @@
 from uuid import uuid4
 
 from ragwortstand import clock
+from ragwortstand.callers.ages import CallerAges
 from ragwortstand.callers.dispatch import Dispatcher
 from ragwortstand.callers.splits import WeightedSplits
 from ragwortstand.calls import Call
@@ -95,6 +96,7 @@
         self._splits = splits
         self._metrics = metrics
         self._log = log
+        self._ages = CallerAges()
         self.is_refusing = False
         self.last_request_at_s = 0.0
 
@@ -138,8 +140,10 @@
         route, rank = match.route, match.rank
         began_at_s = request.arrived_at_s
         budget_s = route.deadline_s or rank.deadline_s
+        age_s = 0.0
         if asked.budget_s is not None:
             budget_s = min(budget_s, asked.budget_s)
+            age_s = self._ages.age_s(rank.name, asked.budget_s)
         return Call(
             request_id=RequestId(asked.request_id or uuid4().hex),
             method=request.method,
@@ -151,7 +155,7 @@
             is_idempotent=route.is_idempotent(request.method),
             deadline_s=began_at_s + budget_s,
             version=snapshot.version,
-            goal_s=began_at_s + rank.target_s,
+            goal_s=began_at_s + rank.target_s - age_s,
             max_attempts=route.max_attempts,
             began_at_s=began_at_s,
         )
--- a/src/ragwortstand/tools/load_cli.py
+++ b/src/ragwortstand/tools/load_cli.py
@@ -16,6 +16,9 @@
 from ragwortstand.tools.gain import measure_gain
 from ragwortstand.tools.load import Plan
 from ragwortstand.tools.member_cost import measure_members
+from ragwortstand.tools.model.report import compare
+from ragwortstand.tools.model.scenes import SCENES
+from ragwortstand.tools.plots import plot_model
 from ragwortstand.tools.scale import measure_scale
 
 
@@ -75,6 +78,13 @@
     )
 
 
+def _model(options: argparse.Namespace) -> object:
+    document, visits = compare(options.scene, options.seed)
+    if options.plot:
+        plot_model(visits, pathlib.Path(options.plot), options.scene)
+    return document
+
+
 def _parser() -> argparse.ArgumentParser:
     parser = argparse.ArgumentParser(
         prog='ragwort-load',
@@ -89,6 +99,7 @@
     run.add_argument('--name', default='load', help='prefix of request tags')
     _add_measurements(commands)
     _add_experiment(commands)
+    _add_model(commands)
     return parser
 
 
@@ -127,5 +138,16 @@
     experiment.add_argument('--report', required=True, metavar='DIR')
 
 
+def _add_model(commands: Commands) -> None:
+    model = commands.add_parser(
+        'model',
+        help='play a load pattern in virtual time, policy against baseline',
+    )
+    model.set_defaults(run=_model)
+    model.add_argument('scene', choices=sorted(SCENES))
+    model.add_argument('--seed', type=int, default=1)
+    model.add_argument('--plot', metavar='PNG')
+
+
 if __name__ == '__main__':
     sys.exit(main())
--- /dev/null
+++ b/src/ragwortstand/tools/model/fleet.py
@@ -0,0 +1,478 @@
+"""ragwortstand.tools.model.fleet: a fleet in memory, in virtual time.
+
+The decision classes are the real ones: dispatcher, choice, retries, memory of
+forwarded work and admission. Links are delays, backend servers are timers.
+"""
+
+import math
+import random
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+from types import MappingProxyType, SimpleNamespace
+from typing import Any, cast
+
+import anyio
+from anyio.abc import TaskGroup
+
+from ragwortstand import clock
+from ragwortstand.backend_servers.admission import Admission, Load, Ticket
+from ragwortstand.callers.ages import CallerAges
+from ragwortstand.callers.dispatch import Dispatcher
+from ragwortstand.calls import Call
+from ragwortstand.events import NullLog
+from ragwortstand.ids import (
+    HostId,
+    PeerAddress,
+    RegionName,
+    RequestId,
+    ServiceName,
+    Version,
+    ZoneName,
+)
+from ragwortstand.metrics import Metrics
+from ragwortstand.models import Rank, Service
+from ragwortstand.peers.choice import Choice, Place
+from ragwortstand.peers.forwarding import ForwardedWork, Forwarder
+from ragwortstand.peers.messages import (
+    CancelWork,
+    Member,
+    MemberState,
+    Reply,
+    Request,
+    Work,
+)
+from ragwortstand.peers.retries import RetryPolicy
+from ragwortstand.verdicts import Answered, Cause, Outcome, Refused, Unknown
+
+# One way to the same host, zone, region and another region, in seconds.
+_WAY_S = (0.0001, 0.0002, 0.001, 0.012)
+_SERVER_ERROR = 500
+# Callers come back at the latest after this part of the time they have left.
+_MAX_RETURN_PART = 1 / 3
+# Refusals spread the return of callers up to this factor.
+_RETURN_SPREAD = 1.3
+_VERSION = Version(1)
+
+
+@dataclass(frozen=True, slots=True)
+class Server:
+    """A backend server and the daemon beside it.
+
+    :param host: name of the host.
+    :param zone: its availability zone.
+    :param region: its region.
+    :param service: what it offers.
+    :param slots: requests that it runs at once.
+    :param speed: work done in a second, relative to the nominal.
+    """
+
+    host: str
+    zone: str
+    region: str
+    service: str
+    slots: int = 13
+    speed: float = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class Kind:
+    """A kind of request.
+
+    :param rank: its rank, with the target.
+    :param service: who runs it.
+    :param work_s: mean time on a nominal server.
+    :param spread: part of the mean by which work varies to either side.
+    :param calls: kinds that each run calls, one after the other.
+    :param is_idempotent: whether it may be repeated.
+    :param deadline_s: how long its caller waits.
+    """
+
+    rank: Rank
+    service: str
+    work_s: float
+    spread: float = 0.3
+    calls: tuple['Kind', ...] = ()
+    is_idempotent: bool = True
+    deadline_s: float = 1.5
+
+
+@dataclass(frozen=True, slots=True)
+class Stream:
+    """Requests of one kind that come from the callers of one zone.
+
+    :param kind: the kind.
+    :param zone: availability zone of the callers.
+    :param per_s: requests a second.
+    :param from_s: first second.
+    :param until_s: last second.
+    :param returns: how often a refused caller comes back, when it is told to.
+    """
+
+    kind: Kind
+    zone: str
+    per_s: float
+    from_s: float = 0.0
+    until_s: float = 10.0
+    returns: int = 2
+
+
+@dataclass(frozen=True, slots=True)
+class Trouble:
+    """What is wrong with some backend servers for a time.
+
+    :param hosts: on which hosts.
+    :param from_s: first second.
+    :param until_s: last second.
+    :param slower: how many times as long work takes.
+    :param rejected: part of the requests that are rejected at once.
+    """
+
+    hosts: frozenset[str]
+    from_s: float
+    until_s: float
+    slower: float = 1.0
+    rejected: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Policy:
+    """The deciding parts of all daemons.
+
+    :param name: how reports call it.
+    :param admission: makes the queue of a backend server.
+    :param choice: makes the choice among servers.
+    :param retries: makes the retry policy; it gets the number of daemons.
+    """
+
+    name: str
+    admission: Callable[[], Admission]
+    choice: Callable[[Place, Callable[[float], Load], random.Random], Choice]
+    retries: Callable[[int], RetryPolicy]
+
+
+@dataclass(frozen=True, slots=True)
+class Scene:
+    """A load pattern to play.
+
+    :param servers: the backend servers.
+    :param streams: the load.
+    :param troubles: what goes wrong.
+    """
+
+    servers: tuple[Server, ...]
+    streams: tuple[Stream, ...]
+    troubles: tuple[Trouble, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Visit:
+    """One request of a caller and its end.
+
+    :param rank: name of its rank.
+    :param zone: availability zone of the caller.
+    :param began_at_s: when the caller asked first.
+    :param taken_s: time to the last answer.
+    :param is_served: whether it has a success.
+    :param is_in_goal: whether it came within the target of its rank.
+    :param refused_after_s: time to the first refusal; infinite without one.
+    """
+
+    rank: str
+    zone: str
+    began_at_s: float
+    taken_s: float
+    is_served: bool
+    is_in_goal: bool
+    refused_after_s: float = math.inf
+
+
+class _BackendServer:
+    """Runs requests with the slots that the admission grants."""
+
+    def __init__(self, daemon: '_Daemon', admission: Admission) -> None:
+        self._daemon = daemon
+        self._server = daemon.server
+        self._rng = daemon.fleet.rng
+        self.admission = admission
+        admission.configure(daemon.fleet.ranks)
+        admission.open(self._server.slots, 0, 0)
+
+    async def run(self, call: Call) -> Outcome:
+        """Return the outcome of a request here."""
+        now_s = clock.now_s()
+        ticket = self.admission.enter(
+            call.rank.name, call.deadline_s, now_s, goal_s=call.goal_s
+        )
+        if isinstance(ticket, Refused):
+            return ticket
+        outcome: Outcome = Refused(Cause.DEADLINE)
+        try:
+            with anyio.CancelScope(deadline=call.deadline_s):
+                outcome = await self._in_turn(call, ticket)
+            if call.is_dispatched and isinstance(outcome, Refused):
+                outcome = Unknown(Cause.DEADLINE)
+        finally:
+            self.admission.leave(ticket, clock.now_s())
+        return outcome
+
+    async def _in_turn(self, call: Call, ticket: Ticket) -> Outcome:
+        if ticket.granted_at_s is None:
+            await ticket.granted.wait()
+        if ticket.refusal:
+            return ticket.refusal
+        troubles = self._troubles()
+        if any(self._rng.random() < one.rejected for one in troubles):
+            return Refused(Cause.REJECTED)
+        call.is_dispatched = True
+        slower = math.prod(one.slower for one in troubles)
+        kind = self._daemon.fleet.kind(call)
+        spread = self._rng.uniform(1 - kind.spread, 1 + kind.spread)
+        await anyio.sleep(kind.work_s * spread * slower / self._server.speed)
+        for called in kind.calls:
+            answer = await self._daemon.ask(called, call.deadline_s)
+            if not _is_served(answer):
+                return Answered(_SERVER_ERROR, (), b'')
+        return Answered(200, (), b'')
+
+    def _troubles(self) -> list[Trouble]:
+        now_s = clock.now_s()
+        return [
+            trouble
+            for trouble in self._daemon.fleet.scene.troubles
+            if self._server.host in trouble.hosts
+            and trouble.from_s <= now_s < trouble.until_s
+        ]
+
+
+class _Daemon:
+    """The daemon beside one backend server."""
+
+    def __init__(self, fleet: 'FleetModel', server: Server) -> None:
+        self.fleet = fleet
+        self.server = server
+        self.place = Place(
+            HostId(server.host),
+            ZoneName(server.zone),
+            RegionName(server.region),
+        )
+        policy = fleet.policy
+        self._backend_server = _BackendServer(self, policy.admission())
+        self.work = ForwardedWork(
+            self._backend_server, self.load, _no_snapshot, _never
+        )
+        self.forwarder = Forwarder(_Links(self))
+        self._ages = CallerAges()
+        self._dispatcher = Dispatcher(
+            cast(Any, fleet.members_of(self.place.host)),
+            policy.choice(self.place, self.load, fleet.rng),
+            policy.retries(len(fleet.scene.servers)),
+            cast(Any, None),
+            self._backend_server,
+            self.load,
+            self.forwarder,
+            Metrics(),
+            NullLog(),
+        )
+
+    def load(self, now_s: float) -> Load:
+        """Return how busy the backend server is."""
+        return self._backend_server.admission.load(now_s)
+
+    async def ask(self, kind: Kind, deadline_s: float = math.inf) -> Outcome:
+        """Send a request as a caller on this host does.
+
+        :param kind: what is asked for.
+        :param deadline_s: when the caller itself must be done.
+        """
+        call = self.fleet.call(kind, deadline_s)
+        budget_s = call.remaining_s(call.began_at_s)
+        age_s = self._ages.age_s(kind.rank.name, budget_s)
+        call.goal_s = call.began_at_s + kind.rank.target_s - age_s
+        await anyio.sleep(_WAY_S[0])
+        return await self._dispatcher.dispatch(call)
+
+
+class _Links:
+    """Delays between daemons."""
+
+    def __init__(self, daemon: _Daemon) -> None:
+        self._daemon = daemon
+
+    async def ask(
+        self,
+        address: PeerAddress,
+        request: Request,
+        timeout_s: float,
+    ) -> Reply:
+        """Carry a message there and its reply back."""
+        peer = self._daemon.fleet.daemons[address]
+        member = self._daemon.fleet.members[address]
+        way_s = _WAY_S[self._daemon.place.distance(member)]
+        await anyio.sleep(way_s)
+        reply: Reply
+        if isinstance(request, CancelWork):
+            reply = peer.work.cancel(request)
+        else:
+            reply = await peer.work.run(cast(Work, request))
+        await anyio.sleep(way_s)
+        return reply
+
+    def forget(self, address: PeerAddress) -> None:
+        """Keep no links."""
+
+
+@dataclass(slots=True)
+class FleetModel:
+    """Plays one scene with one policy.
+
+    :param scene: the load pattern.
+    :param policy: the deciding parts.
+    :param seed: of all randomness.
+    """
+
+    scene: Scene
+    policy: Policy
+    seed: int = 1
+    rng: random.Random = field(init=False)
+    members: dict[str, Member] = field(init=False)
+    daemons: dict[str, _Daemon] = field(default_factory=dict)
+    visits: list[Visit] = field(default_factory=list)
+    _kinds: dict[RequestId, Kind] = field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        """Know all servers from the start."""
+        self.rng = random.Random(self.seed)
+        self.members = {
+            server.host: _member(server) for server in self.scene.servers
+        }
+
+    @property
+    def ranks(self) -> tuple[Rank, ...]:
+        """Return the ranks of the scene, the most urgent first."""
+        kinds = [stream.kind for stream in self.scene.streams]
+        called = [one for kind in kinds for one in kind.calls]
+        ranks = {kind.rank.name: kind.rank for kind in (*kinds, *called)}
+        return tuple(sorted(ranks.values(), key=lambda rank: rank.target_s))
+
+    async def play(self) -> tuple[Visit, ...]:
+        """Return how each request of the scene ended."""
+        for server in self.scene.servers:
+            self.daemons[server.host] = _Daemon(self, server)
+        async with anyio.create_task_group() as tasks:
+            for daemon in self.daemons.values():
+                daemon.forwarder.start(tasks)
+            for stream in self.scene.streams:
+                tasks.start_soon(self._send, stream, tasks)
+        return tuple(self.visits)
+
+    def kind(self, call: Call) -> Kind:
+        """Return the kind of a request that runs."""
+        return self._kinds[call.request_id]
+
+    def call(self, kind: Kind, deadline_s: float) -> Call:
+        """Return a new request."""
+        now_s = clock.now_s()
+        request_id = RequestId(str(len(self._kinds)))
+        self._kinds[request_id] = kind
+        return Call(
+            request_id=request_id,
+            method='GET',
+            target='/',
+            headers=(),
+            body=b'',
+            service=Service(name=kind.service),
+            rank=kind.rank,
+            is_idempotent=kind.is_idempotent,
+            deadline_s=min(deadline_s, now_s + kind.deadline_s),
+            version=_VERSION,
+            began_at_s=now_s,
+        )
+
+    def members_of(self, host: HostId) -> SimpleNamespace:
+        """Return the list of members as one daemon has it."""
+        offering: dict[str, tuple[Member, ...]] = {}
+        for member in self.members.values():
+            name = member.service or ''
+            offering[name] = (*offering.get(name, ()), member)
+        return SimpleNamespace(
+            own=self.members[host],
+            offering=MappingProxyType(offering).__getitem__,
+        )
+
+    async def _send(self, stream: Stream, tasks: TaskGroup) -> None:
+        await anyio.sleep(stream.from_s)
+        while clock.now_s() < stream.until_s:
+            await anyio.sleep(self.rng.expovariate(stream.per_s))
+            tasks.start_soon(self._visit, stream)
+
+    async def _visit(self, stream: Stream) -> None:
+        began_at_s = clock.now_s()
+        outcome, refused_after_s = await self._ask(stream)
+        rank = stream.kind.rank
+        taken_s = clock.now_s() - began_at_s
+        is_served = _is_served(outcome)
+        self.visits.append(
+            Visit(
+                rank.name,
+                stream.zone,
+                began_at_s,
+                taken_s,
+                is_served,
+                is_served and taken_s <= rank.target_s,
+                refused_after_s,
+            )
+        )
+
+    async def _ask(self, stream: Stream) -> tuple[Outcome, float]:
+        """Ask, and come back as callers do, until there is an answer.
+
+        Returns the last outcome and the time to the first refusal.
+        """
+        began_at_s = clock.now_s()
+        until_s = began_at_s + stream.kind.deadline_s
+        refused_after_s = math.inf
+        for left in reversed(range(stream.returns + 1)):
+            daemon = self.rng.choice(self._daemons_in(stream.zone))
+            outcome = await daemon.ask(stream.kind, until_s)
+            if not isinstance(outcome, Refused) or not left:
+                break
+            now_s = clock.now_s()
+            refused_after_s = min(refused_after_s, now_s - began_at_s)
+            spread = self.rng.uniform(1, _RETURN_SPREAD)
+            longest_s = (until_s - now_s) * _MAX_RETURN_PART
+            await anyio.sleep(min(outcome.retry_after_s * spread, longest_s))
+        return outcome, refused_after_s
+
+    def _daemons_in(self, zone: str) -> Sequence[_Daemon]:
+        return [
+            daemon
+            for daemon in self.daemons.values()
+            if daemon.server.zone == zone
+        ]
+
+
+def _member(server: Server) -> Member:
+    return Member(
+        host=HostId(server.host),
+        peer_address=PeerAddress(server.host),
+        region=RegionName(server.region),
+        zone=ZoneName(server.zone),
+        incarnation=1,
+        state=MemberState.ALIVE,
+        service=ServiceName(server.service),
+        slots=server.slots,
+        is_ready=True,
+        boot=1,
+    )
+
+
+def _is_served(outcome: Outcome) -> bool:
+    return isinstance(outcome, Answered) and outcome.status < _SERVER_ERROR
+
+
+def _no_snapshot() -> None:
+    """Know no configuration; the ranks of work come with it."""
+
+
+def _never() -> bool:
+    return False
--- /dev/null
+++ b/src/ragwortstand/tools/model/report.py
@@ -0,0 +1,150 @@
+"""ragwortstand.tools.model.report: the policy against its baseline."""
+
+import math
+import random
+from collections.abc import Callable, Sequence
+from typing import TypeAlias
+
+import msgspec
+
+from ragwortstand.backend_servers.admission import FifoAdmission, Load
+from ragwortstand.backend_servers.goals import GoalAdmission
+from ragwortstand.peers.choice import Choice, Place, RandomChoice
+from ragwortstand.peers.goal_choice import GoalChoice
+from ragwortstand.peers.retries import NaiveRetries, RetryPolicy
+from ragwortstand.peers.shared_budget import RetryTerms, SharedBudgetRetries
+from ragwortstand.tools.model.fleet import FleetModel, Policy, Visit
+from ragwortstand.tools.model.scenes import scene
+from ragwortstand.tools.model.virtual_time import run_in_virtual_time
+
+_WINDOW_S = 1.0
+# Seconds with fewer requests of a rank tell nothing.
+_MIN_WINDOW = 20
+
+VisitsByPolicy: TypeAlias = dict[str, tuple[Visit, ...]]
+
+
+class RankFigures(msgspec.Struct, frozen=True):
+    """What became of the requests of one rank.
+
+    :param asked: requests of callers.
+    :param in_goal: part that was answered within the target.
+    :param served: part that was answered at all.
+    :param worst_second: lowest part within the target in any second.
+    :param refused: part that was refused at least once.
+    :param refusal_p99_s: time to a refusal, 99th percentile; 0 without any.
+    """
+
+    asked: int
+    in_goal: float
+    served: float
+    worst_second: float
+    refused: float
+    refusal_p99_s: float
+
+
+class ModelReport(msgspec.Struct, frozen=True):
+    """One scene under several policies.
+
+    :param scene: name of the load pattern.
+    :param seed: of all randomness.
+    :param policies: figures by policy and rank.
+    """
+
+    scene: str
+    seed: int
+    policies: dict[str, dict[str, RankFigures]]
+
+
+def goal_policy() -> Policy:
+    """Return the policy of the sidecar."""
+    return Policy('goals', GoalAdmission, GoalChoice, _shared_budget)
+
+
+def baseline_policy() -> Policy:
+    """Return first come first served, random choice and naive retries."""
+    return Policy('baseline', FifoAdmission, _random_choice, _naive_retries)
+
+
+def play(name: str, policy: Policy, seed: int) -> tuple[Visit, ...]:
+    """Return how each request of a scene ended.
+
+    :param name: name of the scene.
+    :param policy: the deciding parts.
+    :param seed: of all randomness.
+    """
+    fleet = FleetModel(scene(name), policy, seed)
+    return run_in_virtual_time(fleet.play)
+
+
+def compare(name: str, seed: int) -> tuple[ModelReport, VisitsByPolicy]:
+    """Play a scene with the baseline and with the policy.
+
+    :param name: name of the scene.
+    :param seed: of all randomness.
+    :returns: the report, and the visits by policy for a plot.
+    """
+    visits = {
+        policy.name: play(name, policy, seed)
+        for policy in (baseline_policy(), goal_policy())
+    }
+    figures = {label: figures_of(part) for label, part in visits.items()}
+    return ModelReport(name, seed, figures), visits
+
+
+def figures_of(visits: Sequence[Visit]) -> dict[str, RankFigures]:
+    """Return the figures of each rank.
+
+    :param visits: all requests of one run.
+    """
+    ranks = sorted({visit.rank for visit in visits})
+    return {
+        rank: _figures([one for one in visits if one.rank == rank])
+        for rank in ranks
+    }
+
+
+def _figures(visits: Sequence[Visit]) -> RankFigures:
+    refusals = sorted(
+        visit.refused_after_s
+        for visit in visits
+        if math.isfinite(visit.refused_after_s)
+    )
+    asked = len(visits)
+    late_s = refusals[int(len(refusals) * 0.99)] if refusals else 0.0
+    return RankFigures(
+        asked,
+        round(sum(visit.is_in_goal for visit in visits) / asked, 4),
+        round(sum(visit.is_served for visit in visits) / asked, 4),
+        round(min(_by_second(visits), default=0), 4),
+        round(len(refusals) / asked, 4),
+        round(late_s, 4),
+    )
+
+
+def _by_second(visits: Sequence[Visit]) -> list[float]:
+    seconds: dict[int, list[bool]] = {}
+    for visit in visits:
+        second = int(visit.began_at_s / _WINDOW_S)
+        seconds.setdefault(second, []).append(visit.is_in_goal)
+    return [
+        sum(part) / len(part)
+        for part in seconds.values()
+        if len(part) >= _MIN_WINDOW
+    ]
+
+
+def _random_choice(
+    place: Place,
+    own_load: Callable[[float], Load],
+    rng: random.Random,
+) -> Choice:
+    return RandomChoice(rng)
+
+
+def _naive_retries(daemons: int) -> RetryPolicy:
+    return NaiveRetries()
+
+
+def _shared_budget(daemons: int) -> RetryPolicy:
+    return SharedBudgetRetries(RetryTerms(), lambda: daemons)
