Prefer near servers more, and send callers of a rejecting server back at once

One failure moved a host's requests to another zone for three seconds, and a cost lower by chance moved them to another region.

--- a/src/ragwortstand/peers/goal_choice.py
+++ b/src/ragwortstand/peers/goal_choice.py
@@ -33,12 +33,15 @@
 _REFUSED_S = 0.15
 # Word of failures loses its meaning within this time.
 _FAILURE_LIFE_S = 3.0
-_FAILURE_WEIGHT = 0.15
+_FAILURE_WEIGHT = 0.08
 # How much a server that fails every request is worse than a sound one.
-_FAILURE_COST = 8.0
+_FAILURE_COST = 5.0
 # Pauses after a host could not be reached, doubled up to the longest.
 _BLOCK_MIN_S = 0.3
 _BLOCK_MAX_S = 3.0
+# A server further away must be cheaper by this factor, as costs of servers
+# that all fail or fill up differ by chance.
+_FARTHER_PART = 0.6
 # Differences in cost below this part are left to chance.
 _SPREAD = 0.15
 _TIERS = 3
@@ -118,7 +121,7 @@
             picked, cost_s = self._cheapest(tier, rank, now_s)
             if cost_s <= rank.target_s * _NEAR_PART:
                 return picked
-            if best is None or cost_s < best_s:
+            if best is None or cost_s < best_s * _FARTHER_PART:
                 best, best_s = picked, cost_s
         return best
 
--- a/src/ragwortstand/platform/headers.py
+++ b/src/ragwortstand/platform/headers.py
@@ -136,7 +136,7 @@
 
 # A backend server that rejects is full or fails; its daemon sends the next
 # request as soon as this.
-_REJECTED_RETRY_S = 0.1
+_REJECTED_RETRY_S = 0.02
 
 
 def _budget_s(text: bytes | None) -> float | None:
--- a/src/ragwortstand/tools/model/fleet.py
+++ b/src/ragwortstand/tools/model/fleet.py
@@ -47,6 +47,8 @@
 # One way to the same host, zone, region and another region, in seconds.
 _WAY_S = (0.0001, 0.0002, 0.001, 0.012)
 _SERVER_ERROR = 500
+# As the adapter tells callers of a server that rejects.
+_REJECTED_RETRY_S = 0.02
 # Callers come back at the latest after this part of the time they have left.
 _MAX_RETURN_PART = 1 / 3
 # Refusals spread the return of callers up to this factor.
@@ -222,7 +224,7 @@
             return ticket.refusal
         troubles = self._troubles()
         if any(self._rng.random() < one.rejected for one in troubles):
-            return Refused(Cause.REJECTED)
+            return Refused(Cause.REJECTED, _REJECTED_RETRY_S)
         call.is_dispatched = True
         slower = math.prod(one.slower for one in troubles)
         kind = self._daemon.fleet.kind(call)
