--- a/tests/test_goal_choice.py
+++ b/tests/test_goal_choice.py
@@ -117,6 +117,24 @@
             self._finish('near', failed if number % 2 else _SERVED)
         self.assertEqual(self._chosen(0.01), {'beside': 20})
 
+    def test_one_failure_moves_nothing(self) -> None:
+        """A single answer may fail on any server."""
+        for failed in (Refused(Cause.REJECTED), Unknown(Cause.DEADLINE)):
+            with self.subTest(cause=failed.cause):
+                self.setUp()
+                self._finish('near')
+                self._finish('near', failed)
+                self.assertEqual(self._chosen(0.01), {'near': 20})
+
+    def test_all_grey_alike_stays_near(self) -> None:
+        """Other regions are no better where all servers reject alike."""
+        rejected = Refused(Cause.REJECTED)
+        for number in range(30):
+            for host, share in (('near', 2), ('beside', 2), ('far', 3)):
+                is_rejected = number % share == 0
+                self._finish(host, rejected if is_rejected else _SERVED)
+        self.assertEqual(self._chosen(0.01)['far'], 0)
+
     def test_it_is_tried_again_later(self) -> None:
         for _ in range(12):
             self._finish('near', Answered(500, (), b''))
