Read the store and join the others at once on start

Cause: after a power loss of all machines daemons listened 0.6 s after the power was back, but had a configuration only 0.5 s later, as a new process waited for peers that were starting as well; members were known after 0.4 s more. Ruled out: slow reads of the store (applied within 50 ms of the wait).

Change: where one read of the source brings the whole content nobody is waited for; rows of an earlier time are read at once, and again after 0.4 s where nobody was met.

--- a/src/ragwortstand/peers/distribution.py
+++ b/src/ragwortstand/peers/distribution.py
@@ -41,7 +41,6 @@
 _PEER_TIMEOUT_S = 2.0
 _RETRY_S = 0.5
 _HERD_READS_PER_S = 100
-_JOIN_WAIT_S = 0.5
 _JOIN_POLL_S = 0.05
 
 
@@ -146,7 +145,7 @@
 
     async def _settle(self) -> None:
         """Find a version no older than the one served here before."""
-        with anyio.move_on_after(_JOIN_WAIT_S):
+        with anyio.move_on_after(self._policy.join_wait_s):
             while not self._members.peers():  # noqa: ASYNC110
                 await anyio.sleep(_JOIN_POLL_S)
         await anyio.sleep(self._herd_delay_s())
--- a/src/ragwortstand/peers/enrolment.py
+++ b/src/ragwortstand/peers/enrolment.py
@@ -74,15 +74,28 @@
             for seed in self._seeds:
                 joins.start_soon(self._gossip.join, seed)
             joins.start_soon(self._write_own)
+            # Rows of an earlier time may name daemons that live; those that
+            # start together with this one have written theirs a little later.
+            await self._look()
             await anyio.sleep(_GATHER_S)
             while True:
-                await self._look()
+                if self._must_look():
+                    await self._look()
                 await anyio.sleep(self._interval_s())
 
     def _interval_s(self) -> float:
         base_s = _KEEPER_S if self._members.peers() else _ALONE_S
         return base_s * self._rng.uniform(0.75, 1.25)
 
+    def _must_look(self) -> bool:
+        """Tell whether this daemon is new, alone or a keeper."""
+        is_alone = not self._members.peers()
+        return is_alone or not self._is_met or self._is_keeper()
+
+    def _is_keeper(self) -> bool:
+        keepers = self._members.leaders('keeper', _KEEPERS)
+        return self._members.own in keepers
+
     async def _write_own(self) -> None:
         while not self._is_written:
             try:
@@ -97,11 +110,7 @@
                 await anyio.sleep(_RETRY_S * self._rng.uniform(0.5, 1.5))
 
     async def _look(self) -> None:
-        """Read rows, where this daemon is new, alone or a keeper."""
-        own = self._members.own
-        keepers = self._members.leaders('keeper', _KEEPERS)
-        if self._members.peers() and self._is_met and own not in keepers:
-            return
+        """Read rows and join daemons that are not known."""
         try:
             rows = await self._read()
         except PlatformError as error:
@@ -112,7 +121,7 @@
         await self._join_unknown(rows)
         self._is_met = True
         missing = self._missing(rows)
-        if missing and self._is_written and own in keepers:
+        if missing and self._is_written and self._is_keeper():
             await self._restore(missing)
 
     async def _read(self) -> tuple[EntryPoint, ...]:
--- a/src/ragwortstand/peers/version_sources.py
+++ b/src/ragwortstand/peers/version_sources.py
@@ -84,6 +84,8 @@
         the first.
     :param store_region: region of the store; None where readers are chosen by
         how well they reach it.
+    :param join_wait_s: how long a new process waits for other members before
+        it reads the source; they have the content and tell the size of a herd.
     """
 
     is_pushing: bool = True
@@ -91,3 +93,4 @@
     is_flat: bool = False
     standby_delay_s: float = 1.0
     store_region: str | None = None
+    join_wait_s: float = 0.5
--- a/src/ragwortstand/sidecar.py
+++ b/src/ragwortstand/sidecar.py
@@ -225,7 +225,13 @@
             self._parts.versions,
             self._members,
             self._links,
-            DistributionPolicy(fanout=_FANOUT, is_flat=True, standby_delay_s=0),
+            DistributionPolicy(
+                fanout=_FANOUT,
+                is_flat=True,
+                standby_delay_s=0,
+                # One read of the source brings the whole content.
+                join_wait_s=0,
+            ),
             self._metrics,
             self._log,
             self._rng,
--- a/tests/test_enrolment.py
+++ b/tests/test_enrolment.py
@@ -10,7 +10,7 @@
 from ragwortstand.ids import HostId, PeerAddress
 from ragwortstand.peers.enrolment import Enrolment
 from ragwortstand.peers.members import Members
-from ragwortstand.peers.messages import MemberState
+from ragwortstand.peers.messages import Member, MemberState
 from ragwortstand.settings import MembershipSettings
 from ragwortstand.storage import EntryPoint
 from ragwortstand.storage.table import Transaction, Write
@@ -20,12 +20,18 @@
 class _Gossip:
     """Notes which daemons are joined."""
 
-    def __init__(self) -> None:
+    def __init__(self, members: Members) -> None:
+        self._members = members
         self.joined: list[PeerAddress] = []
+        self.fleet: list[Member] = []
+        self.is_down = False
 
     async def join(self, address: PeerAddress) -> bool:
         self.joined.append(address)
-        return True
+        if not self.is_down:
+            # A daemon that is joined tells of all that it knows.
+            self._members.merge(self.fleet, 0.0)
+        return not self.is_down
 
 
 class _Base(unittest.IsolatedAsyncioTestCase):
@@ -33,9 +39,9 @@
         """Start alone."""
         self.platform = FakePlatform()
         self.log = ListLog()
-        self.gossip = _Gossip()
         own = member('own')
         self.members = Members(own, MembershipSettings(), 0.0)
+        self.gossip = _Gossip(self.members)
         self.seeds: tuple[PeerAddress, ...] = ()
 
     async def _run(self, seconds: float = 0.6) -> None:
@@ -53,6 +59,7 @@
 
     def _put(self, name: str, text: str | None = None) -> None:
         found = member(name)
+        self.gossip.fleet.append(found)
         row = EntryPoint('c', found.host, found.peer_address, 0.0)
         content = text or msgspec.json.encode(row).decode()
         write = Write(f'member/c/{name}', content)
@@ -72,6 +79,22 @@
         self.assertEqual(self._hosts(), ['b', 'own'])
         self.assertEqual(self.gossip.joined, [member('b').peer_address])
 
+    async def test_joins_at_once_what_an_earlier_time_left(self) -> None:
+        """No time is lost waiting where others live."""
+        self._put('b')
+        await self._run(0.1)
+        self.assertEqual(self.gossip.joined, [member('b').peer_address])
+
+    async def test_looks_again_for_those_that_start_together(self) -> None:
+        """Rows of a fleet that lost its power name nobody at first."""
+        self._put('b')
+        self.gossip.is_down = True
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._run)
+            await anyio.sleep(0.2)
+            self.gossip.is_down = False
+        self.assertEqual(len(self.members.peers()), 1)
+
     async def test_joins_a_few_of_many(self) -> None:
         for number in range(30):
             self._put(f'h{number}')
@@ -119,5 +142,9 @@
         self.members.merge([member('b')], 0.0)
         row = EntryPoint('c', HostId('b'), PeerAddress('tcp://b:2'), 0.0)
         self._put('b', msgspec.json.encode(row).decode())
+        moved = msgspec.structs.replace(
+            member('b', incarnation=2), peer_address=row.peer_address
+        )
+        self.gossip.fleet = [moved]
         await self._run()
         self.assertEqual(self.gossip.joined, ['tcp://b:2'])
