--- a/src/ragwortstand/tools/explain.py
+++ b/src/ragwortstand/tools/explain.py
@@ -7,6 +7,7 @@
 """
 
 import argparse
+import itertools
 import pathlib
 import sys
 from collections.abc import Iterator, Sequence
@@ -69,9 +70,11 @@
 ) -> Iterator[str]:
     """Return the lines of the story of a request.
 
-    :param logs: events of each process in the order in which it wrote them.
+    :param logs: events in the order in which they were written; one log may
+        hold the events of several hosts.
     :param request: id of the request.
     """
+    logs = _by_host(logs)
     story = _collect(logs, request)
     yield f'request {request}'
     yield from _attempts(story)
@@ -103,6 +106,15 @@
     return ExitCode.DONE
 
 
+def _by_host(
+    logs: Sequence[Sequence[TimedEvent]],
+) -> Sequence[Sequence[TimedEvent]]:
+    hosts: dict[str, list[TimedEvent]] = {}
+    for event in itertools.chain.from_iterable(logs):
+        hosts.setdefault(event.host, []).append(event)
+    return tuple(hosts.values())
+
+
 def _collect(
     logs: Sequence[Sequence[TimedEvent]],
     request: str,
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -61,6 +61,17 @@
         self.assertNotIn('version=1', text)
         self.assertNotIn('version=3', text)
 
+    def test_one_log_of_many_hosts(self) -> None:
+        """A collector may put all lines into one file."""
+        together: _Log = (
+            _event(1.0, 'a', 'applied', version=1),
+            _event(2.0, 'b', 'applied', version=2),
+            _event(3.0, 'a', 'refused', request='r'),
+        )
+        text = '\n'.join(explain((together,), 'r'))
+        self.assertIn('version=1', text)
+        self.assertNotIn('version=2', text)
+
     def test_a_clock_that_was_set_back_is_told(self) -> None:
         """An age below zero is no age."""
         taker: _Log = (
