--- a/src/ragwortstand/callers/proxy.py
+++ b/src/ragwortstand/callers/proxy.py
@@ -26,6 +26,8 @@
 from ragwortstand.versions import Match, Snapshot
 
 _NO_RANK = 'none'
+# Statuses from here on tell that a backend server failed.
+_SERVER_ERROR = 500
 # When to come back to a daemon without a configuration: reading one from the
 # store or a peer takes well under this.
 _NO_CONFIGURATION_RETRY_S = 0.5
@@ -182,8 +184,9 @@
         if isinstance(outcome, Refused):
             retry_after_s = round(outcome.retry_after_s, 4)
         self._metrics.count_outcome(rank, verdict, cause, taken_s)
+        has_failed = status >= _SERVER_ERROR
         self._log.emit(
-            _EVENTS[outcome.verdict],
+            Event.FAILED if has_failed else _EVENTS[outcome.verdict],
             request=request_id,
             rank=rank,
             service=call.service.name if call else '',
--- a/src/ragwortstand/events.py
+++ b/src/ragwortstand/events.py
@@ -26,6 +26,7 @@
     APPLIED = 'ragwort:applied'
     VERSION_REFUSED = 'ragwort:version-refused'
     SERVED = 'ragwort:served'
+    FAILED = 'ragwort:failed'
     DECLINED = 'ragwort:declined'
     NO_CANDIDATE = 'ragwort:no-candidate'
     REFUSED = 'ragwort:refused'
--- a/src/ragwortstand/tools/explain.py
+++ b/src/ragwortstand/tools/explain.py
@@ -10,6 +10,7 @@
 import itertools
 import pathlib
 import sys
+from collections import Counter
 from collections.abc import Iterator, Sequence
 from dataclasses import dataclass, field
 
@@ -18,7 +19,12 @@
 from ragwortstand.tools.event_logs import TimedEvent, read_log
 
 _OUTCOMES = frozenset(
-    (Event.SERVED.value, Event.REFUSED.value, Event.UNKNOWN.value),
+    (
+        Event.SERVED.value,
+        Event.FAILED.value,
+        Event.REFUSED.value,
+        Event.UNKNOWN.value,
+    ),
 )
 # What a daemon last wrote of these before a line is what it went by then.
 _BELIEFS = frozenset(
@@ -63,6 +69,15 @@
     others: list[_Line] = field(default_factory=list)
     outcome: _Line | None = None
 
+    @property
+    def hosts(self) -> set[str]:
+        """Return the hosts that wrote these lines, and those they name."""
+        lines = [*self.steps, *self.declined, *self.others]
+        if self.outcome:
+            lines.append(self.outcome)
+        tried = {str(line.event.details.get('tried')) for line in self.steps}
+        return {line.event.host for line in lines} | tried
+
 
 def explain(
     logs: Sequence[Sequence[TimedEvent]],
@@ -102,7 +117,10 @@
     if not any(logs):
         return report('no events in these logs', ExitCode.FAILED)
     lines = explain(logs, options.request)
-    sys.stdout.writelines(f'{line}\n' for line in lines)
+    try:
+        sys.stdout.writelines(f'{line}\n' for line in lines)
+    except BrokenPipeError:
+        sys.stderr.close()
     return ExitCode.DONE
 
 
@@ -194,11 +212,14 @@
     wanted = {Event.DECLINED.value, Event.RETRIED.value}
     if story.outcome is None:
         wanted |= _OUTCOMES
-    for log in logs:
-        for event in log:
+    left_out: Counter[tuple[str, str]] = Counter()
+    for event in itertools.chain.from_iterable(logs):
+        if event.name in wanted:
             count = event.details.get(_SUPPRESSED, 0)
-            if count and event.name in wanted:
-                yield f'{event.host} left out {count} lines: {_name(event)}'
+            left_out[event.host, _name(event)] += count
+    for (host, name), lines in sorted(left_out.items()):
+        if lines and (host in story.hosts or not story.hosts):
+            yield f'{host} left out {lines} lines: {name}'
 
 
 def _name(event: TimedEvent) -> str:
