Take back the larger part of the retry budget

Tried: a quarter of the agreed share for own retries, 0.15 before. A test of a fleet whose calls are rejected like everything else (own retries and the calls of repeated runs, summed in any window of 10 s) exceeds the agreed share with it: 186 of 164; 0.15 stays within. Reverted; the test stays.

--- a/src/ragwortstand/peers/shared_budget.py
+++ b/src/ragwortstand/peers/shared_budget.py
@@ -23,7 +23,7 @@
 # Part of the agreed share that a service's own retries may use. A retried
 # run makes its own calls again, which count as retries of the services that
 # they go to, and calls earn no share there; the rest is kept for those.
-_OWN_PART = 0.25
+_OWN_PART = 0.15
 # Part of the budget that is left to the most urgent rank of a service: calls
 # that run on behalf of work that is already under way.
 _URGENT_PART = 0.5
--- a/tests/test_shared_budget.py
+++ b/tests/test_shared_budget.py
@@ -1,6 +1,8 @@
 """Retries within a budget that all daemons share."""
 
+import random
 import unittest
+from dataclasses import replace
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -21,6 +23,12 @@
 _LOST = Unknown(Cause.CONNECTION_LOST)
 _CALL_RANK = Rank(name='call', target_s=0.06)
 _WORK_RANK = Rank(name='work', target_s=0.25)
+# A fleet of which one service calls another.
+_STATUSES_PER_S = 105
+_DISPATCHES_PER_S = 51
+_CALLS = 1.4
+_DAEMONS = 18
+_REJECTED = 0.55
 
 
 def _call(
@@ -153,3 +161,75 @@
 
 
 _MOSTLY_LOST = (_LOST, _LOST, _LOST, Answered(200, (), b''))
+
+
+class RepeatedCallsTests(unittest.TestCase):
+    """Repeated runs make their calls again, at a service that fails as well.
+
+    Requests are those of eighteen daemons for twelve seconds: callers ask for
+    statuses and dispatches, each status makes 1.4 calls to the dispatchers,
+    and the dispatchers reject more than half of all.
+    """
+
+    def setUp(self) -> None:
+        """Start with empty budgets."""
+        self.rng = random.Random(5)
+        self.fleet = _fleet(_DAEMONS)
+        self.repeats_s: list[float] = []
+        self.asked_s: list[float] = []
+
+    def test_dispatchers_get_no_more_repeats_than_agreed(self) -> None:
+        """Own retries and repeated calls together stay within the share."""
+        for step in range(1200):
+            self._step(step / 100)
+        for start_s in self.repeats_s:
+            end_s = start_s + _TERMS.window_s
+            inside = sum(start_s <= at_s <= end_s for at_s in self.repeats_s)
+            owed = sum(start_s <= at_s <= end_s for at_s in self.asked_s)
+            allowed = _TERMS.ratio * owed + _TERMS.slack
+            self.assertLessEqual(inside, allowed)
+
+    def _step(self, now_s: float) -> None:
+        for _ in range(self._arrivals(_DISPATCHES_PER_S)):
+            self.asked_s.append(now_s)
+            self._ask(now_s, _WORK_RANK, is_repeat=False)
+        for _ in range(self._arrivals(_STATUSES_PER_S)):
+            retries = self.rng.choice(self.fleet)
+            is_served = self._status(now_s, is_repeat=False)
+            outcome = Answered(200 if is_served else 500, (), b'')
+            if retries.allows(_status_call(now_s), outcome, now_s):
+                self._status(now_s, is_repeat=True)
+
+    def _status(self, now_s: float, *, is_repeat: bool) -> bool:
+        """Run a status with its calls; return whether all were served."""
+        calls = 1 + (self.rng.random() < _CALLS - 1)
+        return all(
+            [
+                self._ask(now_s, _CALL_RANK, is_repeat=is_repeat)
+                for _ in range(calls)
+            ],
+        )
+
+    def _ask(self, now_s: float, rank: Rank, *, is_repeat: bool) -> bool:
+        """Send a request to the dispatchers, and once more if allowed."""
+        retries = self.rng.choice(self.fleet)
+        call = _call(began_at_s=now_s, rank=rank, max_attempts=2)
+        while True:
+            if is_repeat:
+                self.repeats_s.append(now_s)
+            if self.rng.random() > _REJECTED:
+                return True
+            rejected = Refused(Cause.REJECTED, 0.02)
+            if not retries.allows(call, rejected, now_s):
+                return False
+            call.attempt += 1
+            is_repeat = True
+
+    def _arrivals(self, per_s: float) -> int:
+        whole, rest = divmod(per_s / 100, 1)
+        return int(whole) + (self.rng.random() < rest)
+
+
+def _status_call(now_s: float) -> Call:
+    call = _call(began_at_s=now_s, max_attempts=2)
+    return replace(call, service=Service(name='jobboard'))
