--- a/src/ragwortstand/peers/links.py
+++ b/src/ragwortstand/peers/links.py
@@ -11,7 +11,6 @@
 from typing import cast
 
 import anyio
-import msgspec
 import pynng
 
 from ragwortstand.events import Event, EventLog
@@ -19,20 +18,17 @@
 from ragwortstand.ids import HostId, PeerAddress
 from ragwortstand.metrics import Metrics
 from ragwortstand.peers.messages import (
-    Envelope,
     Ping,
-    Refusal,
     Reply,
     Request,
-    Work,
-    WorkDone,
-    decode_reply,
-    encode,
 )
 from ragwortstand.peers.operations import within
+from ragwortstand.peers.questions import Questions
 from ragwortstand.verdicts import Verdict
 
 MAX_OVERHEAD_BYTES = 4 * 1024 * 1024
+#: Time to have a request sent, on a connection that may have to be opened:
+#: many round trips between regions.
 CONNECT_TIMEOUT_S = 0.5
 _MAX_IDLE_LINKS = 64
 _SILENCE_S = 1.0
@@ -46,11 +42,18 @@
 
     :param address: where the peer listens.
     :param max_message_bytes: limit of a reply.
+    :param connect_timeout_s: time to have a request sent.
     """
 
-    def __init__(self, address: PeerAddress, max_message_bytes: int) -> None:
+    def __init__(
+        self,
+        address: PeerAddress,
+        max_message_bytes: int,
+        connect_timeout_s: float,
+    ) -> None:
         """Start to dial in the background."""
         self.address = address
+        self._connect_timeout_s = connect_timeout_s
         self.outstanding = 0
         self.last_used_s = 0.0
         self.last_heard_s = 0.0
@@ -90,7 +93,7 @@
         timeout_s: float,
     ) -> bytes:
         with _context(socket) as context:
-            send_s = min(timeout_s, CONNECT_TIMEOUT_S)
+            send_s = min(timeout_s, self._connect_timeout_s)
             await within(send_s, context.asend(wire), Verdict.NOT_RUN)
             reply = await within(
                 timeout_s, context.arecv(), Verdict.MAY_HAVE_RUN
@@ -123,6 +126,7 @@
     :param log: tells of links that are reset.
     :param max_message_bytes: limit of a message.
     :param scope_of: names the scope of an address: zone, region or regional.
+    :param connect_timeout_s: time to have a request sent.
     """
 
     def __init__(
@@ -133,14 +137,13 @@
         log: EventLog,
         max_message_bytes: int,
         scope_of: Callable[[PeerAddress], str],
+        connect_timeout_s: float = CONNECT_TIMEOUT_S,
     ) -> None:
         """Start without links."""
-        self._cluster = cluster
-        self._host = host
-        self._metrics = metrics
+        self._connect_timeout_s = connect_timeout_s
+        self._questions = Questions(cluster, host, metrics, scope_of)
         self._log = log
         self._max_message_bytes = max_message_bytes
-        self._scope_of = scope_of
         self._links: dict[PeerAddress, Link] = {}
 
     async def ask(
@@ -157,18 +160,9 @@
         :raises PeerError: when there is no usable reply in time.
         """
         link = self._links.get(address) or self._open(address)
-        wire = encode(Envelope(self._cluster, self._host, request))
-        self._count(address, request, len(wire), 'sent')
+        wire = self._questions.encode(address, request)
         answer = await link.ask(wire, timeout_s)
-        try:
-            reply = decode_reply(answer)
-        except msgspec.DecodeError as error:
-            problem = f'malformed reply: {error}'
-            raise PeerError(problem, Verdict.MAY_HAVE_RUN) from error
-        self._count(address, reply, len(answer), 'received')
-        if isinstance(reply, Refusal):
-            raise PeerError(reply.problem, Verdict.NOT_RUN)
-        return reply
+        return self._questions.decode(address, answer)
 
     def close(self) -> None:
         """Close all links."""
@@ -195,7 +189,7 @@
                     checks.start_soon(self._check, link, ping)
 
     async def _check(self, link: Link, ping: Ping) -> None:
-        wire = encode(Envelope(self._cluster, self._host, ping))
+        wire = self._questions.encode(link.address, ping)
         try:
             await link.ask(wire, _SILENCE_S)
         except PeerError:
@@ -206,7 +200,9 @@
         if len(self._links) >= _MAX_IDLE_LINKS:
             self._close_oldest()
         try:
-            link = Link(address, self._max_message_bytes)
+            link = Link(
+                address, self._max_message_bytes, self._connect_timeout_s
+            )
         except pynng.NNGException as error:
             raise PeerError(str(error), Verdict.NOT_RUN) from error
         self._links[address] = link
@@ -218,20 +214,6 @@
             oldest = min(idle, key=lambda link: link.last_used_s)
             self._links.pop(oldest.address).close()
 
-    def _count(
-        self,
-        address: PeerAddress,
-        message: Request | Reply,
-        size_bytes: int,
-        direction: str,
-    ) -> None:
-        if isinstance(message, Work | WorkDone):
-            return
-        counter = self._metrics.control_bytes.labels(
-            self._scope_of(address), direction, type(message).__name__
-        )
-        counter.inc(size_bytes)
-
 
 @contextlib.contextmanager
 def _context(socket: pynng.Req0) -> Iterator[pynng.Context]:
--- a/src/ragwortstand/peers/streams.py
+++ b/src/ragwortstand/peers/streams.py
@@ -10,7 +10,6 @@
 from typing import NamedTuple, cast
 
 import anyio
-import msgspec
 
 from ragwortstand import clock
 from ragwortstand.events import Event, EventLog
@@ -19,15 +18,11 @@
 from ragwortstand.metrics import Metrics
 from ragwortstand.peers.frames import FrameKind, Frames
 from ragwortstand.peers.messages import (
-    Envelope,
-    Refusal,
     Reply,
     Request,
     Work,
-    WorkDone,
-    decode_reply,
-    encode,
 )
+from ragwortstand.peers.questions import Questions
 from ragwortstand.verdicts import Verdict
 
 #: Time to open a connection: several round trips of 24 ms between regions. A
@@ -146,12 +141,9 @@
     ) -> None:
         """Start without links."""
         self._connect_timeout_s = connect_timeout_s
-        self._cluster = cluster
-        self._host = host
-        self._metrics = metrics
+        self._questions = Questions(cluster, host, metrics, scope_of)
         self._log = log
         self._max_message_bytes = max_message_bytes
-        self._scope_of = scope_of
         self._dialled: dict[PeerAddress, _Dialled] = {}
         self._dialling: dict[PeerAddress, anyio.Lock] = {}
         self._silent: set[PeerAddress] = set()
@@ -171,23 +163,14 @@
         :raises PeerError: when there is no usable reply in time. Work is not
             sent over a link that is silent.
         """
-        wire = encode(Envelope(self._cluster, self._host, request))
         link = await self._link(
             address, min(timeout_s, self._connect_timeout_s)
         )
         if isinstance(request, Work) and address in self._silent:
             raise PeerError('link is silent', Verdict.NOT_RUN)
-        self._count(address, request, len(wire), 'sent')
+        wire = self._questions.encode(address, request)
         answer = await link.ask(wire, timeout_s)
-        try:
-            reply = decode_reply(answer)
-        except msgspec.DecodeError as error:
-            problem = f'malformed reply: {error}'
-            raise PeerError(problem, Verdict.MAY_HAVE_RUN) from error
-        self._count(address, reply, len(answer), 'received')
-        if isinstance(reply, Refusal):
-            raise PeerError(reply.problem, Verdict.NOT_RUN)
-        return reply
+        return self._questions.decode(address, answer)
 
     async def run(self) -> None:
         """Watch for links that have gone silent, until cancelled."""
@@ -254,20 +237,6 @@
         if link:
             link.abort()
 
-    def _count(
-        self,
-        address: PeerAddress,
-        message: Request | Reply,
-        size_bytes: int,
-        direction: str,
-    ) -> None:
-        if isinstance(message, Work | WorkDone):
-            return
-        counter = self._metrics.control_bytes.labels(
-            self._scope_of(address), direction, type(message).__name__
-        )
-        counter.inc(size_bytes)
-
 
 def _expire(reply: 'asyncio.Future[bytes]', timeout_s: float) -> None:
     if not reply.done():
