Wait in a test for what it needs instead of for a fixed time

The connection was closed after 0.2 s, before the request was sent, on a machine with a load of 20; the verdict was rightly that it had not run.

--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -156,7 +156,9 @@
             address = peer.listener.address
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self._fail, links, address)
-                await anyio.sleep(0.2)
+                with anyio.fail_after(_CONNECT_TIMEOUT_S):
+                    while not peer.requests:  # noqa: ASYNC110
+                        await anyio.sleep(0.01)
                 links.close()
             await anyio.sleep(0.5)
             self.assertEqual(len(peer.requests), 1)
