--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -56,6 +56,12 @@
                 return Applied(Version(7))
         return Done()
 
+    async def arrived(self, count: int) -> None:
+        """Wait until so many requests have come."""
+        with anyio.fail_after(_CONNECT_TIMEOUT_S):
+            while len(self.requests) < count:  # noqa: ASYNC110
+                await anyio.sleep(0.01)
+
 
 @asynccontextmanager
 async def _peer() -> AsyncIterator[_Peer]:
@@ -112,7 +118,7 @@
             address = peer.listener.address
             for _ in range(100):
                 tasks.start_soon(links.ask, address, _work(), 30)
-            await anyio.sleep(0.5)
+            await peer.arrived(100)
             reply = await links.ask(address, Ping(Version(0), None, 0), 1)
             self.assertIsInstance(reply, Pong)
             tasks.cancel_scope.cancel()
@@ -156,9 +162,7 @@
             address = peer.listener.address
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self._fail, links, address)
-                with anyio.fail_after(_CONNECT_TIMEOUT_S):
-                    while not peer.requests:  # noqa: ASYNC110
-                        await anyio.sleep(0.01)
+                await peer.arrived(1)
                 links.close()
             await anyio.sleep(0.5)
             self.assertEqual(len(peer.requests), 1)
