--- a/src/ragwortstand/tools/model/__init__.py
+++ b/src/ragwortstand/tools/model/__init__.py
@@ -1,7 +1,7 @@
 """ragwortstand.tools.model: load patterns in virtual time, without network."""
 
-from ragwortstand.tools.model.fleet import (
-    FleetModel,
+from ragwortstand.tools.model.fleet import FleetModel
+from ragwortstand.tools.model.plans import (
     Kind,
     Policy,
     Scene,
--- a/src/ragwortstand/tools/model/report.py
+++ b/src/ragwortstand/tools/model/report.py
@@ -13,7 +13,8 @@
 from ragwortstand.peers.goal_choice import GoalChoice
 from ragwortstand.peers.retries import NaiveRetries, RetryPolicy
 from ragwortstand.peers.shared_budget import RetryTerms, SharedBudgetRetries
-from ragwortstand.tools.model.fleet import FleetModel, Policy, Visit
+from ragwortstand.tools.model.fleet import FleetModel
+from ragwortstand.tools.model.plans import Policy, Visit
 from ragwortstand.tools.model.scenes import scene
 from ragwortstand.tools.model.virtual_time import run_in_virtual_time
 
--- a/src/ragwortstand/tools/model/scenes.py
+++ b/src/ragwortstand/tools/model/scenes.py
@@ -10,7 +10,7 @@
 from types import MappingProxyType
 
 from ragwortstand.models import Rank
-from ragwortstand.tools.model.fleet import (
+from ragwortstand.tools.model.plans import (
     Kind,
     Scene,
     Server,
--- a/tests/test_run_at_most_once.py
+++ b/tests/test_run_at_most_once.py
@@ -217,13 +217,10 @@
 def _dispatcher(world: _World) -> Dispatcher:
     return Dispatcher(
         _members(world),
-        cast(
-            Any,
-            GoalChoice(
-                Place(HostId('own'), ZoneName('a1'), RegionName('a')),
-                lambda now_s: Load(4, 0, 0),
-                random.Random(1),
-            ),
+        GoalChoice(
+            Place(HostId('own'), ZoneName('a1'), RegionName('a')),
+            lambda now_s: Load(4, 0, 0),
+            random.Random(1),
         ),
         SharedBudgetRetries(_TERMS, lambda: 1),
         cast(Any, None),
