Let a daemon that hears no other read the store itself

Ruled out: a lost offer (all seventeen others had the version within 60 ms) and the member's death (none died).

Change: without word of any other member for 1.2 s, a daemon follows the store as the readers do. The test fails on the former code.

--- a/src/ragwortstand/peers/distribution.py
+++ b/src/ragwortstand/peers/distribution.py
@@ -94,7 +94,8 @@
             self._tasks = tasks
             await self._settle()
             while True:
-                is_reader = self._reader_position() is not None
+                position = self._reader_position(anyio.current_time())
+                is_reader = position is not None
                 await self._source.wait(is_reader)
                 await self._step()
 
@@ -218,7 +219,7 @@
 
     async def _poll(self) -> None:
         """Read the head row where this daemon is a reader."""
-        position = self._reader_position()
+        position = self._reader_position(anyio.current_time())
         if position is None:
             return
         try:
@@ -232,8 +233,15 @@
         except PlatformError:
             return
 
-    def _reader_position(self) -> int | None:
+    def _reader_position(self, now_s: float) -> int | None:
+        """Return this daemon's place among the readers, None without one.
+
+        One that hears no other reads for itself, as the readers can't tell it.
+        """
         own = self._members.own
+        unheard_s = now_s - self._members.heard_at_s
+        if self._members.peers() and unheard_s > self._policy.isolated_after_s:
+            return 0
         store_region = self._policy.store_region
         if store_region is None:
             readers = best_readers(self._members)
--- a/src/ragwortstand/peers/members.py
+++ b/src/ragwortstand/peers/members.py
@@ -32,7 +32,8 @@
     half of the members are suspected at once, this daemon is taken to be cut
     off: the suspects are kept, and the outcomes of calls decide.
 
-    `digest` is the same in lists with the same present members.
+    `digest` is the same in lists with the same present members. `heard_at_s` is
+    when any other member last spoke or answered.
 
     :param own: this daemon.
     :param settings: times of suspicion and memory.
@@ -52,6 +53,7 @@
         self._news: dict[HostId, int] = {own.host: 0}
         self._candidates: dict[ServiceName, tuple[Member, ...]] | None = None
         self._orders: dict[str, list[HostId]] = {}
+        self.heard_at_s = now_s
         self.digest = _fingerprint(own)
         self.on_change: Callable[[Member], None] = _ignore
         self.on_refute: Callable[[], None] = _nothing
@@ -123,7 +125,8 @@
             self._store(replace(member, state=MemberState.SUSPECT), now_s)
 
     def vouch(self, host: HostId, now_s: float) -> None:
-        """Drop a suspicion of our own, as the member has just answered."""
+        """Drop a suspicion of our own, as the member was just heard."""
+        self.heard_at_s = now_s
         member = self.get(host)
         if member and member.state is MemberState.SUSPECT:
             self._store(replace(member, state=MemberState.ALIVE), now_s)
--- a/src/ragwortstand/peers/version_sources.py
+++ b/src/ragwortstand/peers/version_sources.py
@@ -86,6 +86,9 @@
         how well they reach it.
     :param join_wait_s: how long a new process waits for other members before
         it reads the source; they have the content and tell the size of a herd.
+    :param isolated_after_s: time without word of any other member after which a
+        daemon reads for itself; the probe that it sends every second, with a
+        tenth of jitter, is answered until then.
     """
 
     is_pushing: bool = True
@@ -94,3 +97,4 @@
     standby_delay_s: float = 1.0
     store_region: str | None = None
     join_wait_s: float = 0.5
+    isolated_after_s: float = 1.2
--- a/src/ragwortstand/platform/store.py
+++ b/src/ragwortstand/platform/store.py
@@ -47,7 +47,7 @@
 _FEED_PAUSE_S = 0.1
 # Between two looks of a daemon that leaves reading to others, and after a
 # look that failed.
-_IDLE_S = 0.5
+_IDLE_S = 0.3
 # How long a daemon that the store has failed leaves reading to others.
 _UNREACHED_S = 5.0
 # Answers of a store in the same region come within this time.
--- /dev/null
+++ b/tests/test_distribution.py
@@ -0,0 +1,116 @@
+"""How versions reach a daemon that others can't tell."""
+
+import random
+import unittest
+
+import anyio
+from msgspec.structs import replace
+
+from ragwortstand.exceptions import PeerError
+from ragwortstand.ids import (
+    Digest,
+    HostId,
+    PeerAddress,
+    SubmissionId,
+    Version,
+)
+from ragwortstand.metrics import Metrics
+from ragwortstand.models import digest_of
+from ragwortstand.peers.distribution import Distributor
+from ragwortstand.peers.members import Members
+from ragwortstand.peers.messages import Reply, Request
+from ragwortstand.peers.version_sources import DistributionPolicy
+from ragwortstand.settings import MembershipSettings
+from ragwortstand.storage import VersionRecord
+from ragwortstand.tools.model import run_in_virtual_time
+from ragwortstand.verdicts import Verdict
+from ragwortstand.versions import VersionGate
+from tests.fakes import MESH, ListLog, member
+
+_CONTENT = MESH.to_json().encode()
+_POLICY = DistributionPolicy(is_flat=True, join_wait_s=0)
+
+
+class _Store:
+    """A source with one version; counts what is read."""
+
+    def __init__(self) -> None:
+        self.version = Version(1)
+        self.reads = 0
+
+    async def head(self) -> VersionRecord | None:
+        self.reads += 1
+        return VersionRecord(
+            self.version, digest_of(_CONTENT), SubmissionId('s'), 'o', 0.0
+        )
+
+    async def content(self, digest: Digest) -> bytes | None:
+        return _CONTENT
+
+    def is_held(self, digest: Digest) -> bool:
+        return True
+
+    async def wait(self, is_reader: bool) -> None:
+        await anyio.sleep(0.3)
+
+
+class _NoLinks:
+    """Nobody is reached."""
+
+    async def ask(
+        self,
+        address: PeerAddress,
+        request: Request,
+        timeout_s: float,
+    ) -> Reply:
+        raise PeerError('cut off', Verdict.NOT_RUN)
+
+    def forget(self, address: PeerAddress) -> None:
+        """Keep no links."""
+
+
+class CutOffDaemonTests(unittest.TestCase):
+    """A daemon that is no reader, cut off from all others at once."""
+
+    def setUp(self) -> None:
+        """Know two readers that reach the store better."""
+        self.store = _Store()
+        self.gate = VersionGate()
+        own = replace(member('own'), store_reach=1)
+        self.members = Members(own, MembershipSettings(), 0.0)
+        readers = [replace(member(name), store_reach=2) for name in 'ab']
+        self.members.merge(readers, 0.0)
+
+    async def _follow(self, heard_until_s: float, until_s: float) -> None:
+        """Play; another member is heard every second up to a time."""
+        distributor = Distributor(
+            self.gate,
+            self.store,
+            self.members,
+            _NoLinks(),
+            _POLICY,
+            Metrics(),
+            ListLog(),
+            random.Random(1),
+        )
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(distributor.run)
+            await anyio.sleep(0.1)
+            self.store.version = Version(2)
+            while anyio.current_time() < until_s:
+                now_s = anyio.current_time()
+                if now_s < heard_until_s:
+                    self.members.vouch(HostId('a'), now_s)
+                await anyio.sleep(1)
+            tasks.cancel_scope.cancel()
+
+    def test_reads_for_itself_within_two_seconds(self) -> None:
+        """The store is all that it reaches."""
+        run_in_virtual_time(lambda: self._follow(0.0, 2.0))
+        self.assertEqual(self.gate.version, Version(2))
+
+    def test_leaves_reading_to_the_readers_while_it_hears_them(self) -> None:
+        """Each read of the store is billed."""
+        run_in_virtual_time(lambda: self._follow(60.0, 60.0))
+        self.assertEqual(self.store.reads, 1)
+        self.assertEqual(self.gate.version, Version(1))
