--- a/src/ragwortstand/tools/explain.py
+++ b/src/ragwortstand/tools/explain.py
@@ -90,15 +90,17 @@
     :param request: id of the request.
     """
     logs = _by_host(logs)
+    for call in _calls(logs, request):
+        yield f'call {call}'
+        yield from _attempts(_collect(logs, call))
+        yield from _outcome_of(_collect(logs, call))
     story = _collect(logs, request)
     yield f'request {request}'
     yield from _attempts(story)
     for line in story.others:
         yield _shown(line.event)
-    if story.outcome:
-        yield _shown(story.outcome.event)
-        yield from _beliefs(story.outcome)
-    else:
+    yield from _outcome_of(story)
+    if story.outcome is None:
         yield from _without_outcome(story, logs)
     yield from _missing(story, logs)
 
@@ -145,6 +147,26 @@
     return story
 
 
+def _calls(
+    logs: Sequence[Sequence[TimedEvent]],
+    request: str,
+) -> Sequence[str]:
+    """Return the ids of the calls that the runs of a request made.
+
+    Backend servers that tell put the id of the request and a dot before them.
+    """
+    asked = (
+        str(event.details.get('request'))
+        for event in itertools.chain.from_iterable(logs)
+    )
+    return sorted({one for one in asked if one.startswith(f'{request}.')})
+
+
+def _outcome_of(story: _Story) -> Iterator[str]:
+    if story.outcome:
+        yield from _told(story.outcome)
+
+
 def _sort_in(story: _Story, line: _Line) -> None:
     name = line.event.name
     if name in _OUTCOMES:
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -72,6 +72,20 @@
         self.assertIn('version=1', text)
         self.assertNotIn('version=2', text)
 
+    def test_calls_of_its_runs_go_before_its_end(self) -> None:
+        """A failed call explains why a server answered with an error."""
+        taker: _Log = (
+            _event(2.0, 'a', 'failed', request='r', status=500),
+            _event(2.1, 'a', 'failed', request='other', status=500),
+        )
+        caller: _Log = (
+            _event(1.0, 'b', 'may-have-run', request='r.1', cause='lost'),
+            _event(1.1, 'b', 'may-have-run', request='rr.2', cause='lost'),
+        )
+        text = tuple(explain((taker, caller), 'r'))
+        self.assertLess(_line(0, text, 'call r.1'), _line(0, text, 'a: failed'))
+        self.assertNotIn('rr.2', '\n'.join(text))
+
     def test_a_clock_that_was_set_back_is_told(self) -> None:
         """An age below zero is no age."""
         taker: _Log = (
