Keep one copy of what two parts of the code did alike

The sidecar had copied the daemon's restart of tasks and its messages about crashes; both listeners read and refused messages in the same lines; the boundary of failed statuses stood in four modules; two plots and a report counted shares by second on their own; explain went through all logs twice for each call and once more for the request.

Change: `supervise`, `CrashNews`, `Answers`, `Answered.has_failed` and `tools.shares` are called instead; explain reads the logs once. The stream listener gets its handler with the connection and has no state without one. Constants of the sidecar and the links say where they come from. Ruled out: one admission for goals and shares (their lines keep different orders), one constructor for both kinds of links (lists of parameters, no logic).

--- a/src/ragwortstand/callers/proxy.py
+++ b/src/ragwortstand/callers/proxy.py
@@ -26,8 +26,6 @@
 from ragwortstand.versions import Match, Snapshot
 
 _NO_RANK = 'none'
-# Statuses from here on tell that a backend server failed.
-_SERVER_ERROR = 500
 # When to come back to a daemon without a configuration: reading one from the
 # store or a peer takes well under this.
 _NO_CONFIGURATION_RETRY_S = 0.5
@@ -177,16 +175,17 @@
         rank = call.rank.name if call else _NO_RANK
         verdict = outcome.verdict.value
         status, cause, retry_after_s = 0, '', 0.0
+        event = _EVENTS[outcome.verdict]
         if isinstance(outcome, Answered):
             status = outcome.status
+            event = Event.FAILED if outcome.has_failed else event
         else:
             cause = outcome.cause.value
         if isinstance(outcome, Refused):
             retry_after_s = round(outcome.retry_after_s, 4)
         self._metrics.count_outcome(rank, verdict, cause, taken_s)
-        has_failed = status >= _SERVER_ERROR
         self._log.emit(
-            Event.FAILED if has_failed else _EVENTS[outcome.verdict],
+            event,
             request=request_id,
             rank=rank,
             service=call.service.name if call else '',
--- a/src/ragwortstand/daemon.py
+++ b/src/ragwortstand/daemon.py
@@ -2,7 +2,7 @@
 
 import random
 import time
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Mapping
 from types import MappingProxyType
 
 import anyio
@@ -15,7 +15,6 @@
 from ragwortstand.callers import Dispatcher, Front, OnceRunner, OverloadGuard
 from ragwortstand.events import Event, EventLog
 from ragwortstand.ids import (
-    Fingerprint,
     HostId,
     PeerAddress,
     RegionName,
@@ -26,6 +25,7 @@
 from ragwortstand.operators.admin import Admin
 from ragwortstand.operators.fleet_report import FleetReport
 from ragwortstand.peers.choice import choice_for
+from ragwortstand.peers.crash_news import CrashNews
 from ragwortstand.peers.distribution import Distributor
 from ragwortstand.peers.forwarding import ForwardedWork, Forwarder
 from ragwortstand.peers.gossip import Gossip
@@ -36,11 +36,9 @@
 from ragwortstand.peers.listener import Listener
 from ragwortstand.peers.members import Members
 from ragwortstand.peers.messages import (
-    CrashSuspects,
     Member,
     MemberState,
     Ping,
-    SuspectCleared,
 )
 from ragwortstand.peers.retries import retries_for
 from ragwortstand.peers.scopes import LinkScopes
@@ -55,6 +53,7 @@
     EntryPoints,
 )
 from ragwortstand.storage.client import PlatformClient
+from ragwortstand.supervision import supervise
 from ragwortstand.versions import Snapshot, VersionGate
 
 _CONNECTS: Mapping[str, Connect] = MappingProxyType(
@@ -65,7 +64,6 @@
 )
 _WATCH_LINKS_S = 0.5
 _EXPIRE_S = 0.5
-_MARK_TIMEOUT_S = 0.5
 _DRAIN_POLL_S = 0.02
 _LEAVE_SPREAD_S = 0.3
 _RESTART_S = 1.0
@@ -239,8 +237,6 @@
             connect=_CONNECTS[settings.backend_server.client],
         )
         self._backend_server.on_change = self._on_backend_server
-        self._backend_server.crashes.on_crash = self._on_crash
-        self._backend_server.crashes.on_clear = self._on_clear
         self._backend_server.is_home = lambda call: self._homes.is_home(
             ServiceName(call.service.name), call.fingerprint
         )
@@ -250,6 +246,13 @@
             lambda snapshot: self._guard.configure(snapshot.mesh.ranks)
         )
         self._forwarder = Forwarder(self._links)
+        news = CrashNews(
+            self._members,
+            self._forwarder,
+            lambda: self._backend_server.service,
+        )
+        self._backend_server.crashes.on_crash = news.on_crash
+        self._backend_server.crashes.on_clear = news.on_clear
         self._claims = ClaimTable(self._platform)
         self._runner = OnceRunner(
             self._members.own.host,
@@ -323,22 +326,9 @@
             self._runner.expire,
             self._expire_backend_server,
         ):
-            tasks.start_soon(self._supervise, task)
+            tasks.start_soon(supervise, task, self._log, _RESTART_S)
         return [callers, admin]
 
-    async def _supervise(self, task: Callable[[], Awaitable[None]]) -> None:
-        """Run a task for ever, and start it again when it fails."""
-        while True:
-            try:
-                await task()
-            except Exception as error:
-                self._log.emit(
-                    Event.TASK_FAILED,
-                    task=task.__qualname__,
-                    problem=repr(error),
-                )
-            await anyio.sleep(_RESTART_S)
-
     async def _serve_peers(self) -> None:
         await self._listener.serve(self._handlers.handle)
 
@@ -365,31 +355,6 @@
         self._members.update_own(state=MemberState.LEFT)
         await self._gossip.spread()
 
-    async def _on_crash(self, suspects: tuple[Fingerprint, ...]) -> None:
-        """Tell the daemons that could run the suspects next."""
-        await self._tell_service(CrashSuspects(suspects))
-
-    async def _on_clear(self, fingerprint: Fingerprint) -> None:
-        await self._tell_service(SuspectCleared(fingerprint))
-
-    async def _tell_service(
-        self,
-        message: CrashSuspects | SuspectCleared,
-    ) -> None:
-        """Tell the daemons whose backend servers offer the same service."""
-        service = self._backend_server.service
-        async with anyio.create_task_group() as tellers:
-            for member in self._members.peers():
-                if member.service == service:
-                    tellers.start_soon(self._tell, member, message)
-
-    async def _tell(
-        self,
-        member: Member,
-        message: CrashSuspects | SuspectCleared,
-    ) -> None:
-        await self._forwarder.tell(member, message, _MARK_TIMEOUT_S)
-
     def _snapshot(self) -> Snapshot | None:
         return self._gate.snapshot if self._distributor.is_settled else None
 
--- /dev/null
+++ b/src/ragwortstand/peers/answers.py
@@ -0,0 +1,58 @@
+"""ragwortstand.peers.answers: messages as the answering daemon reads them."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import TypeAlias
+
+import msgspec
+
+from ragwortstand.events import Event, EventLog
+from ragwortstand.ids import HostId
+from ragwortstand.metrics import Metrics
+from ragwortstand.peers.messages import (
+    Envelope,
+    Refusal,
+    Reply,
+    Request,
+    decode_envelope,
+)
+
+Handler: TypeAlias = Callable[[HostId, Request], Awaitable[Reply]]
+
+
+@dataclass(frozen=True, slots=True)
+class Answers:
+    """Reads requests of other daemons and refuses what can't be answered.
+
+    :param cluster: requests of other clusters are refused.
+    :param metrics: counts refused messages.
+    :param log: tells of refused messages.
+    """
+
+    cluster: str
+    metrics: Metrics
+    log: EventLog
+
+    def read(self, wire: bytes) -> Envelope | Refusal:
+        """Return an encoded request, or the refusal that answers it.
+
+        :param wire: the encoded envelope.
+        """
+        try:
+            envelope = decode_envelope(wire)
+        except msgspec.DecodeError as error:
+            return self.refuse('malformed', f'malformed message: {error}')
+        if envelope.cluster != self.cluster:
+            problem = f'this is not cluster {envelope.cluster!r}'
+            return self.refuse('cluster', problem)
+        return envelope
+
+    def refuse(self, cause: str, problem: str) -> Refusal:
+        """Count and log a message that is refused, and return the refusal.
+
+        :param cause: label of the counter.
+        :param problem: what is wrong with the message.
+        """
+        self.metrics.peer_errors.labels(cause).inc()
+        self.log.emit(Event.PEER_MESSAGE_REFUSED, problem=problem)
+        return Refusal(problem)
--- a/src/ragwortstand/peers/goal_choice.py
+++ b/src/ragwortstand/peers/goal_choice.py
@@ -55,7 +55,6 @@
     ),
 )
 _FAILED = frozenset((Cause.REJECTED, Cause.CONNECTION_LOST, Cause.DEADLINE))
-_SERVER_ERROR = 500
 
 
 @dataclass(slots=True)
@@ -179,7 +178,7 @@
         signal.blocks = 0
         signal.busy = busy
         signal.heard_at_s = now_s
-        _note_failure(signal, float(outcome.status >= _SERVER_ERROR))
+        _note_failure(signal, float(outcome.has_failed))
         # The time in the queue is taken off by the load.
         service_s = taken_s / max(1.0, busy)
         known_s = signal.service_s.get(rank.name, service_s)
--- a/src/ragwortstand/peers/listener.py
+++ b/src/ragwortstand/peers/listener.py
@@ -1,17 +1,17 @@
 """ragwortstand.peers.listener: answers requests from other daemons."""
 
 import contextlib
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 
 import anyio
-import msgspec
 import pynng
 from anyio.abc import TaskGroup
 
-from ragwortstand.events import Event, EventLog
+from ragwortstand.events import EventLog
 from ragwortstand.exceptions import PeerError
 from ragwortstand.ids import HostId, PeerAddress
 from ragwortstand.metrics import Metrics
+from ragwortstand.peers.answers import Answers, Handler
 from ragwortstand.peers.messages import (
     Envelope,
     Refusal,
@@ -19,7 +19,6 @@
     Request,
     Work,
     WorkDone,
-    decode_envelope,
     encode,
 )
 from ragwortstand.peers.operations import within
@@ -28,8 +27,6 @@
 _SPARE_RECEIVERS = 4
 _SEND_TIMEOUT_S = 5.0
 
-Handler = Callable[[HostId, Request], Awaitable[Reply]]
-
 
 class Listener:
     """A `Rep0` socket with one task for each request that is being answered.
@@ -53,9 +50,8 @@
         log: EventLog,
     ) -> None:
         """Listen; requests wait until `serve` runs."""
-        self._cluster = cluster
+        self._answers = Answers(cluster, metrics, log)
         self._metrics = metrics
-        self._log = log
         self._socket = pynng.Rep0(recv_max_size=max_message_bytes)
         listener = self._socket.listen(address)
         self.address = PeerAddress(f'tcp://{listener.local_address}')
@@ -93,27 +89,18 @@
                 await _send(context, encode(reply))
 
     async def _answer(self, wire: bytes, handler: Handler) -> Reply:
-        try:
-            envelope = decode_envelope(wire)
-        except msgspec.DecodeError as error:
-            return self._refuse('malformed', f'malformed message: {error}')
-        if envelope.cluster != self._cluster:
-            problem = f'this is not cluster {envelope.cluster!r}'
-            return self._refuse('cluster', problem)
+        envelope = self._answers.read(wire)
+        if isinstance(envelope, Refusal):
+            return envelope
         self._count(envelope, envelope.request, len(wire), 'received')
         try:
             reply = await handler(envelope.sender, envelope.request)
         except Exception as error:
-            return self._refuse('internal', repr(error))
+            return self._answers.refuse('internal', repr(error))
         if not isinstance(reply, WorkDone):
             self._count(envelope, reply, len(encode(reply)), 'sent')
         return reply
 
-    def _refuse(self, cause: str, problem: str) -> Refusal:
-        self._metrics.peer_errors.labels(cause).inc()
-        self._log.emit(Event.PEER_MESSAGE_REFUSED, problem=problem)
-        return Refusal(problem)
-
     def _count(
         self,
         envelope: Envelope,
--- a/src/ragwortstand/peers/shared_budget.py
+++ b/src/ragwortstand/peers/shared_budget.py
@@ -37,7 +37,6 @@
 # caller instead of trying elsewhere.
 _SEARCH_PART = 0.125
 _FINAL = frozenset((Cause.DEADLINE, Cause.QUARANTINED, Cause.CALLER_GONE))
-_SERVER_ERROR = 500
 
 
 @dataclass(frozen=True, slots=True)
@@ -135,7 +134,7 @@
 
 def _may_repeat(call: Call, outcome: Outcome) -> bool:
     if isinstance(outcome, Answered):
-        return call.is_idempotent and outcome.status >= _SERVER_ERROR
+        return call.is_idempotent and outcome.has_failed
     if outcome.cause in _FINAL:
         return False
     if outcome.verdict is Verdict.NOT_RUN:
--- a/src/ragwortstand/peers/stream_listener.py
+++ b/src/ragwortstand/peers/stream_listener.py
@@ -2,22 +2,17 @@
 
 import asyncio
 import socket
-from collections.abc import Awaitable, Callable
-from typing import TypeAlias
 
 import anyio
-import msgspec
 
-from ragwortstand.events import Event, EventLog
-from ragwortstand.ids import HostId
+from ragwortstand.events import EventLog
 from ragwortstand.metrics import Metrics
+from ragwortstand.peers.answers import Answers, Handler
 from ragwortstand.peers.frames import FrameKind, Frames
 from ragwortstand.peers.messages import (
     Refusal,
     Reply,
-    Request,
     Work,
-    decode_envelope,
     encode,
     work_done,
 )
@@ -25,15 +20,14 @@
 
 _BACKLOG = 512
 
-Handler: TypeAlias = Callable[[HostId, Request], Awaitable[Reply]]
-
 
 class _Accepted(Frames):
     """The answering end of a connection."""
 
-    def __init__(self, listener: 'StreamListener') -> None:
+    def __init__(self, listener: 'StreamListener', handler: Handler) -> None:
         super().__init__(listener.max_message_bytes)
         self._listener = listener
+        self._handler = handler
         listener.connections.add(self)
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -52,7 +46,7 @@
             task.cancel()
 
     async def _answer(self, number: int, body: bytes) -> None:
-        reply = await self._listener.answer(body)
+        reply = await self._listener.answer(body, self._handler)
         self.send(FrameKind.REPLY, number, encode(reply))
 
 
@@ -73,10 +67,7 @@
         log: EventLog,
     ) -> None:
         """Keep the collaborators."""
-        self._cluster = cluster
-        self._metrics = metrics
-        self._log = log
-        self._handler: Handler | None = None
+        self._answers = Answers(cluster, metrics, log)
         self.max_message_bytes = max_message_bytes
         self.connections: set[_Accepted] = set()
 
@@ -86,10 +77,9 @@
         :param listener: a bound socket.
         :param handler: returns the reply to a request.
         """
-        self._handler = handler
         loop = asyncio.get_running_loop()
         server = await loop.create_server(
-            lambda: _Accepted(self), sock=listener, backlog=_BACKLOG
+            lambda: _Accepted(self, handler), sock=listener, backlog=_BACKLOG
         )
         try:
             await anyio.sleep_forever()
@@ -98,27 +88,19 @@
             for connection in tuple(self.connections):
                 connection.abort()
 
-    async def answer(self, wire: bytes) -> Reply:
+    async def answer(self, wire: bytes, handler: Handler) -> Reply:
         """Return the reply to an encoded request.
 
         :param wire: the encoded envelope.
+        :param handler: returns the reply to a request.
         """
+        envelope = self._answers.read(wire)
+        if isinstance(envelope, Refusal):
+            return envelope
         try:
-            envelope = decode_envelope(wire)
-        except msgspec.DecodeError as error:
-            return self._refuse('malformed', f'malformed message: {error}')
-        if envelope.cluster != self._cluster or self._handler is None:
-            problem = f'this is not cluster {envelope.cluster!r}'
-            return self._refuse('cluster', problem)
-        try:
-            return await self._handler(envelope.sender, envelope.request)
+            return await handler(envelope.sender, envelope.request)
         except Exception as error:
-            refusal = self._refuse('internal', repr(error))
+            refusal = self._answers.refuse('internal', repr(error))
         if isinstance(envelope.request, Work):
             return work_done(Unknown(Cause.INTERNAL), 0)
         return refusal
-
-    def _refuse(self, cause: str, problem: str) -> Refusal:
-        self._metrics.peer_errors.labels(cause).inc()
-        self._log.emit(Event.PEER_MESSAGE_REFUSED, problem=problem)
-        return Refusal(problem)
--- a/src/ragwortstand/peers/streams.py
+++ b/src/ragwortstand/peers/streams.py
@@ -40,6 +40,7 @@
 _SILENT_AFTER_S = 0.3
 # The same after which the link is reset: several retransmissions.
 _DEAD_AFTER_S = 0.8
+# Between two looks at all links: half of the shortest time above.
 _WATCH_S = 0.1
 
 
--- a/src/ragwortstand/sidecar.py
+++ b/src/ragwortstand/sidecar.py
@@ -7,7 +7,6 @@
 
 import random
 import time
-from collections.abc import Awaitable, Callable
 
 import anyio
 from anyio.abc import TaskGroup
@@ -26,7 +25,6 @@
 from ragwortstand.graceful_stop import GracefulStop
 from ragwortstand.http_server import Answer, HttpServer
 from ragwortstand.ids import (
-    Fingerprint,
     HostId,
     PeerAddress,
     RegionName,
@@ -36,6 +34,7 @@
 from ragwortstand.metrics import Metrics
 from ragwortstand.models import CallerLimits
 from ragwortstand.peers.choice import Place
+from ragwortstand.peers.crash_news import CrashNews
 from ragwortstand.peers.distribution import Distributor
 from ragwortstand.peers.enrolment import Enrolment
 from ragwortstand.peers.forwarding import ForwardedWork, Forwarder
@@ -45,9 +44,7 @@
 from ragwortstand.peers.homes import Homes
 from ragwortstand.peers.members import Members
 from ragwortstand.peers.messages import (
-    CrashSuspects,
     Member,
-    SuspectCleared,
 )
 from ragwortstand.peers.scopes import LinkScopes
 from ragwortstand.peers.shared_budget import SharedBudgetRetries
@@ -58,6 +55,7 @@
 from ragwortstand.settings import Listen
 from ragwortstand.sidecar_parts import Parts, SidecarSettings
 from ragwortstand.sockets import bind
+from ragwortstand.supervision import supervise
 from ragwortstand.versions import Snapshot, VersionGate
 
 # Message beyond the bodies that it carries.
@@ -67,9 +65,13 @@
 # Members that are told of changes and versions directly; beyond this number
 # gossip carries them on.
 _FANOUT = 100
+# Between two looks whether the backend server still announces itself; it does
+# about once a second.
 _EXPIRE_S = 0.5
-_TELL_TIMEOUT_S = 0.5
+# Pause before a task that failed starts again, so that one that always fails
+# does not take the processor.
 _RESTART_S = 0.5
+# Random bits of a boot's number: two boots of a host do not share one.
 _BOOT_BITS = 48
 
 
@@ -265,10 +267,15 @@
             GoalAdmission(),
         )
         self._backend_server.on_change = self._on_backend_server
-        self._backend_server.crashes.on_crash = self._on_crash
-        self._backend_server.crashes.on_clear = self._on_clear
         self._gate.subscribe(self._backend_server.configure)
         self._forwarder = Forwarder(self._links)
+        news = CrashNews(
+            self._members,
+            self._forwarder,
+            lambda: self._backend_server.service,
+        )
+        self._backend_server.crashes.on_crash = news.on_crash
+        self._backend_server.crashes.on_clear = news.on_clear
         own = self._members.own
         self._choice = GoalChoice(
             Place(own.host, own.zone, own.region),
@@ -346,45 +353,13 @@
             self._distributor.run,
             self._expire,
         ):
-            tasks.start_soon(self._supervise, task)
-
-    async def _supervise(self, task: Callable[[], Awaitable[None]]) -> None:
-        """Run a task for ever, and start it again when it fails."""
-        while True:
-            try:
-                await task()
-            except Exception as error:
-                self._log.emit(
-                    Event.TASK_FAILED,
-                    task=task.__qualname__,
-                    problem=repr(error),
-                )
-            await anyio.sleep(_RESTART_S)
+            tasks.start_soon(supervise, task, self._log, _RESTART_S)
 
     async def _expire(self) -> None:
         while True:
             await anyio.sleep(_EXPIRE_S)
             self._backend_server.expire(clock.now_s())
 
-    async def _on_crash(self, suspects: tuple[Fingerprint, ...]) -> None:
-        await self._tell_service(CrashSuspects(suspects))
-
-    async def _on_clear(self, fingerprint: Fingerprint) -> None:
-        await self._tell_service(SuspectCleared(fingerprint))
-
-    async def _tell_service(
-        self,
-        message: CrashSuspects | SuspectCleared,
-    ) -> None:
-        """Tell the daemons whose backend servers offer the same service."""
-        service = self._backend_server.service
-        async with anyio.create_task_group() as tellers:
-            for member in self._members.peers():
-                if member.service == service:
-                    tellers.start_soon(
-                        self._forwarder.tell, member, message, _TELL_TIMEOUT_S
-                    )
-
     def _snapshot(self) -> Snapshot | None:
         return self._gate.snapshot if self._distributor.is_settled else None
 
--- a/src/ragwortstand/tools/explain.py
+++ b/src/ragwortstand/tools/explain.py
@@ -90,11 +90,12 @@
     :param request: id of the request.
     """
     logs = _by_host(logs)
-    for call in _calls(logs, request):
+    stories = _collect(logs, request)
+    story = stories.pop(request, _Story())
+    for call, part in sorted(stories.items()):
         yield f'call {call}'
-        yield from _attempts(_collect(logs, call))
-        yield from _outcome_of(_collect(logs, call))
-    story = _collect(logs, request)
+        yield from _attempts(part)
+        yield from _outcome_of(part)
     yield f'request {request}'
     yield from _attempts(story)
     for line in story.others:
@@ -138,28 +139,20 @@
 def _collect(
     logs: Sequence[Sequence[TimedEvent]],
     request: str,
-) -> _Story:
-    story = _Story()
+) -> dict[str, _Story]:
+    """Return the stories of a request and of the calls that its runs made.
+
+    Backend servers that tell put the id of the request and a dot before the
+    ids of their calls.
+    """
+    stories: dict[str, _Story] = {}
     for log in logs:
         for position, event in enumerate(log):
-            if event.details.get('request') == request:
+            name = str(event.details.get('request'))
+            if name == request or name.startswith(f'{request}.'):
+                story = stories.setdefault(name, _Story())
                 _sort_in(story, _Line(log, position))
-    return story
-
-
-def _calls(
-    logs: Sequence[Sequence[TimedEvent]],
-    request: str,
-) -> Sequence[str]:
-    """Return the ids of the calls that the runs of a request made.
-
-    Backend servers that tell put the id of the request and a dot before them.
-    """
-    asked = (
-        str(event.details.get('request'))
-        for event in itertools.chain.from_iterable(logs)
-    )
-    return sorted({one for one in asked if one.startswith(f'{request}.')})
+    return stories
 
 
 def _outcome_of(story: _Story) -> Iterator[str]:
--- a/src/ragwortstand/tools/model/fleet.py
+++ b/src/ragwortstand/tools/model/fleet.py
@@ -345,7 +345,7 @@
 
 
 def _is_served(outcome: Outcome) -> bool:
-    return isinstance(outcome, Answered) and outcome.status < _SERVER_ERROR
+    return isinstance(outcome, Answered) and not outcome.has_failed
 
 
 def _no_snapshot() -> None:
--- a/src/ragwortstand/tools/model/report.py
+++ b/src/ragwortstand/tools/model/report.py
@@ -17,8 +17,8 @@
 from ragwortstand.tools.model.plans import Policy, Visit
 from ragwortstand.tools.model.scenes import scene
 from ragwortstand.tools.model.virtual_time import run_in_virtual_time
+from ragwortstand.tools.shares import by_second, share
 
-_WINDOW_S = 1.0
 # Seconds with fewer requests of a rank tell nothing.
 _MIN_WINDOW = 20
 
@@ -112,29 +112,21 @@
         if math.isfinite(visit.refused_after_s)
     )
     asked = len(visits)
+    seconds = by_second((one.began_at_s, one.is_in_goal) for one in visits)
+    shares = (
+        share(part) for part in seconds.values() if len(part) >= _MIN_WINDOW
+    )
     late_s = refusals[int(len(refusals) * 0.99)] if refusals else 0.0
     return RankFigures(
         asked,
         round(sum(visit.is_in_goal for visit in visits) / asked, 4),
         round(sum(visit.is_served for visit in visits) / asked, 4),
-        round(min(_by_second(visits), default=0), 4),
+        round(min(shares, default=0), 4),
         round(len(refusals) / asked, 4),
         round(late_s, 4),
     )
 
 
-def _by_second(visits: Sequence[Visit]) -> list[float]:
-    seconds: dict[int, list[bool]] = {}
-    for visit in visits:
-        second = int(visit.began_at_s / _WINDOW_S)
-        seconds.setdefault(second, []).append(visit.is_in_goal)
-    return [
-        sum(part) / len(part)
-        for part in seconds.values()
-        if len(part) >= _MIN_WINDOW
-    ]
-
-
 def _random_choice(
     place: Place,
     own_load: Callable[[float], Load],
--- a/src/ragwortstand/tools/plots.py
+++ b/src/ragwortstand/tools/plots.py
@@ -1,18 +1,26 @@
 """ragwortstand.tools.plots: plots of experiments, with matplotlib."""
 
 import pathlib
-from collections import Counter
 from collections.abc import Mapping, Sequence
-from typing import Any
+from typing import Any, NamedTuple
 
 from ragwortstand.exceptions import RagwortstandError
 from ragwortstand.tools.load import Record
 from ragwortstand.tools.model import Visit
+from ragwortstand.tools.shares import by_second, share
 
 _SIZE_INCHES = (12, 5)
 _DOTS_PER_INCH = 90
 
 
+class _Sample(NamedTuple):
+    """One request as it is drawn."""
+
+    rank: str
+    at_s: float
+    is_good: bool
+
+
 def plot_served(
     records: Mapping[str, Sequence[Record]],
     path: pathlib.Path,
@@ -27,22 +35,11 @@
     :param fault_s: length of the fault.
     :raises RagwortstandError: when matplotlib is not installed.
     """
-    figure = _figure()
-    panels = figure.subplots(1, len(records), sharey=True)
-    for panel, (label, part) in zip(panels, records.items(), strict=True):
-        panel.axvspan(
-            fault_start_s, fault_start_s + fault_s, color='0.92', label='fault'
-        )
-        for rank in sorted({record.rank for record in part}):
-            shares = _shares([one for one in part if one.rank == rank])
-            panel.plot(list(shares), list(shares.values()), label=rank)
-        panel.set_title(label)
-        panel.set_xlabel('planned start, s')
-        panel.set_ylim(-0.02, 1.02)
-    panels[0].set_ylabel('served within target, share')
-    panels[-1].legend(loc='lower right', fontsize='small')
-    figure.tight_layout()
-    figure.savefig(path)
+    samples = {
+        label: [_sample_of(record) for record in part]
+        for label, part in records.items()
+    }
+    _plot(samples, path, (fault_start_s, fault_start_s + fault_s))
 
 
 def plot_model(
@@ -57,14 +54,40 @@
     :param title: name of the scene.
     :raises RagwortstandError: when matplotlib is not installed.
     """
+    samples = {
+        f'{title}, {label}': [
+            _Sample(visit.rank, visit.began_at_s, visit.is_in_goal)
+            for visit in part
+        ]
+        for label, part in visits.items()
+    }
+    _plot(samples, path)
+
+
+def _sample_of(record: Record) -> _Sample:
+    is_good = record.is_served and record.taken_s <= record.target_s
+    return _Sample(record.rank, record.planned_s, is_good)
+
+
+def _plot(
+    runs: Mapping[str, Sequence[_Sample]],
+    path: pathlib.Path,
+    fault: tuple[float, float] | None = None,
+) -> None:
+    """Draw one panel for each run, with a line for each rank."""
     figure = _figure()
-    panels = figure.subplots(1, len(visits), sharey=True)
-    for panel, (label, part) in zip(panels, visits.items(), strict=True):
-        for rank in sorted({visit.rank for visit in part}):
-            shares = _visit_shares([one for one in part if one.rank == rank])
-            panel.plot(list(shares), list(shares.values()), label=rank)
-        panel.set_title(f'{title}, {label}')
-        panel.set_xlabel('start, s')
+    panels = figure.subplots(1, len(runs), sharey=True)
+    for panel, (title, samples) in zip(panels, runs.items(), strict=True):
+        if fault:
+            panel.axvspan(*fault, color='0.92', label='fault')
+        for rank in sorted({sample.rank for sample in samples}):
+            seconds = by_second(
+                (one.at_s, one.is_good) for one in samples if one.rank == rank
+            )
+            shares = [share(part) for part in seconds.values()]
+            panel.plot(list(seconds), shares, label=rank)
+        panel.set_title(title)
+        panel.set_xlabel('planned start, s')
         panel.set_ylim(-0.02, 1.02)
     panels[0].set_ylabel('served within target, share')
     panels[-1].legend(loc='lower right', fontsize='small')
@@ -79,23 +102,3 @@
         problem = 'plots need matplotlib: install ragwortstand[plots]'
         raise RagwortstandError(problem) from error
     return Figure(figsize=_SIZE_INCHES, dpi=_DOTS_PER_INCH)
-
-
-def _visit_shares(visits: Sequence[Visit]) -> dict[int, float]:
-    sent: Counter[int] = Counter()
-    good: Counter[int] = Counter()
-    for visit in visits:
-        second = int(visit.began_at_s)
-        sent[second] += 1
-        good[second] += visit.is_in_goal
-    return {second: good[second] / sent[second] for second in sorted(sent)}
-
-
-def _shares(records: Sequence[Record]) -> dict[int, float]:
-    sent: Counter[int] = Counter()
-    good: Counter[int] = Counter()
-    for record in records:
-        second = int(record.planned_s)
-        sent[second] += 1
-        good[second] += record.is_served and record.taken_s <= record.target_s
-    return {second: good[second] / sent[second] for second in sorted(sent)}
--- a/src/ragwortstand/verdicts.py
+++ b/src/ragwortstand/verdicts.py
@@ -7,6 +7,9 @@
 Header: TypeAlias = tuple[bytes, bytes]
 Headers: TypeAlias = tuple[Header, ...]
 
+# Statuses from here on tell that a backend server failed (RFC 9110, 15.6).
+_SERVER_ERROR = 500
+
 
 class Verdict(enum.Enum):
     """Whether a request may have run on a backend server."""
@@ -57,6 +60,11 @@
     body: bytes
     verdict: ClassVar[Verdict] = Verdict.RAN
 
+    @property
+    def has_failed(self) -> bool:
+        """Return whether the backend server says that it failed."""
+        return self.status >= _SERVER_ERROR
+
 
 @dataclass(frozen=True, slots=True)
 class Refused:
--- a/tests/test_run_at_most_once.py
+++ b/tests/test_run_at_most_once.py
@@ -17,6 +17,7 @@
 from anyio.lowlevel import checkpoint
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from msgspec.structs import replace
 
 from ragwortstand import clock
 from ragwortstand.backend_servers import Load
@@ -177,24 +178,12 @@
 
 def _members(world: _World) -> Any:
     def offering(service: str) -> tuple[Member, ...]:
-        return tuple(_member(name) for name in _HOSTS)
+        return tuple(replace(member(name), boot=1) for name in _HOSTS)
 
     own = SimpleNamespace(host=HostId('own'))
     return SimpleNamespace(own=own, offering=offering)
 
 
-def _member(name: str) -> Member:
-    known = member(name)
-    return Member(
-        known.host,
-        known.peer_address,
-        known.region,
-        known.zone,
-        1,
-        boot=1,
-    )
-
-
 def _call(name: str) -> Call:
     now_s = clock.now_s()
     return Call(
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -6,6 +6,7 @@
 from contextlib import asynccontextmanager
 
 import anyio
+from msgspec.structs import replace
 
 from ragwortstand import clock
 from ragwortstand.backend_servers import Load
@@ -114,15 +115,7 @@
             accepted.transport.resume_reading()
 
     def member(self) -> Member:
-        known = member('b')
-        return Member(
-            known.host,
-            self.address,
-            known.region,
-            known.zone,
-            1,
-            boot=_BOOT,
-        )
+        return replace(member('b'), peer_address=self.address, boot=_BOOT)
 
     def _new_work(self) -> ForwardedWork:
         return ForwardedWork(
