Log requests that end without an answer, and what a stop gives up

The incident's three hypotheses could not be told apart: a request whose connection ended before its answer left no line, and the line of a stop said nothing of what was given up at its end. Now each such request says who ended its connection (the caller, a stop, or an answer before it on the connection), a connection that fails says with which error, and the last line of a process counts the requests and bytes that it leaves behind.

--- a/src/ragwortstand/callers/proxy.py
+++ b/src/ragwortstand/callers/proxy.py
@@ -1,5 +1,6 @@
 """ragwortstand.callers.proxy: routes the requests of callers on this host."""
 
+import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
 from types import MappingProxyType
@@ -12,7 +13,7 @@
 from ragwortstand.callers.splits import WeightedSplits
 from ragwortstand.calls import Call
 from ragwortstand.events import Event, EventLog
-from ragwortstand.http_server import CallerRequest
+from ragwortstand.http_server import CallerRequest, Ending
 from ragwortstand.ids import RequestId
 from ragwortstand.metrics import Metrics
 from ragwortstand.verdicts import (
@@ -115,7 +116,7 @@
             outcome: Outcome = call
             self._account(call, None, asked.request_id, request.arrived_at_s)
         else:
-            outcome = await self._dispatch(call)
+            outcome = await self._dispatch_or_note(call)
             self._account(outcome, call, asked.request_id, request.arrived_at_s)
         return self._dialect.render(outcome, asked.request_id)
 
@@ -160,6 +161,24 @@
             began_at_s=began_at_s,
         )
 
+    async def _dispatch_or_note(self, call: Call) -> Outcome:
+        """Dispatch a request, and log it when its connection ends first."""
+        try:
+            return await self._dispatch(call)
+        except asyncio.CancelledError as error:
+            reason = error.args[0] if error.args else None
+            self._log.emit(
+                Event.ABANDONED,
+                request=call.request_id,
+                rank=call.rank.name,
+                service=call.service.name,
+                ended_by=reason.value if isinstance(reason, Ending) else '',
+                attempts=call.attempt,
+                taken_s=round(clock.now_s() - call.began_at_s, 4),
+                deadline_left_s=round(call.remaining_s(clock.now_s()), 4),
+            )
+            raise
+
     async def _dispatch(self, call: Call) -> Outcome:
         self._metrics.offered.labels(call.rank.name).inc()
         return await self._dispatcher.dispatch(call)
--- a/src/ragwortstand/events.py
+++ b/src/ragwortstand/events.py
@@ -31,6 +31,8 @@
     NO_CANDIDATE = 'ragwort:no-candidate'
     REFUSED = 'ragwort:refused'
     UNKNOWN = 'ragwort:may-have-run'
+    ABANDONED = 'ragwort:abandoned'
+    CONNECTION_ENDED = 'ragwort:connection-ended'
     RETRIED = 'ragwort:retried'
     QUARANTINED = 'ragwort:quarantined'
     CRASH_SUSPECTS = 'ragwort:crash-suspects'
--- a/src/ragwortstand/http_server.py
+++ b/src/ragwortstand/http_server.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import enum
 import socket
 from collections import deque
 from collections.abc import Awaitable, Callable
@@ -50,6 +51,14 @@
     arrived_at_s: float
 
 
+class Ending(enum.Enum):
+    """Why the connection of a request ended before its answer."""
+
+    CALLER = 'caller'
+    STOP = 'stop'
+    ANSWER_BEFORE = 'answer-before'
+
+
 Answer: TypeAlias = Callable[[CallerRequest], Awaitable[Answered]]
 
 
@@ -111,6 +120,11 @@
         """Return how many requests are being answered."""
         return sum(len(one.exchanges) for one in self.connections)
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Return how many bytes of answers wait for their connections."""
+        return sum(one.unsent_bytes for one in self.connections)
+
     async def serve(self, listener: socket.socket) -> None:
         """Accept connections until cancelled.
 
@@ -128,7 +142,7 @@
         finally:
             server.close()
             for connection in tuple(self.connections):
-                connection.end()
+                connection.end(Ending.STOP)
 
     def stop_listening(self) -> None:
         """Accept no further connections; those that are open go on."""
@@ -164,6 +178,11 @@
         self._has_completed = False
         self.exchanges: deque[_Exchange] = deque()
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Return how many bytes the operating system has not taken yet."""
+        return self._transport.get_write_buffer_size() if self._transport else 0
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the open transport."""
         self._transport = cast(asyncio.Transport, transport)
@@ -171,9 +190,15 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel what the caller no longer waits for."""
+        if exc is not None:
+            self._server.log.emit(
+                Event.CONNECTION_ENDED,
+                problem=repr(exc),
+                requests=len(self.exchanges),
+            )
         self._transport = None
         self._server.connections.discard(self)
-        self._cancel_all()
+        self._cancel_all(Ending.CALLER)
 
     def data_received(self, data: bytes) -> None:
         """Feed the parser."""
@@ -257,11 +282,14 @@
         if self._transport and not self.exchanges and self._incoming is None:
             self._transport.close()
 
-    def end(self) -> None:
-        """Close the connection and cancel what is under way on it."""
+    def end(self, ending: Ending) -> None:
+        """Close the connection and cancel what is under way on it.
+
+        :param ending: why.
+        """
         if self._transport:
             self._transport.close()
-        self._cancel_all()
+        self._cancel_all(ending)
 
     def expire(self, limits: CallerLimits, now_s: float) -> None:
         """Close the connection when its caller takes too long.
@@ -310,7 +338,7 @@
             is_head = exchange.request.method == 'HEAD'
             self._write(encode_answer(exchange.answered, is_last, is_head))
         if is_last:
-            self.end()
+            self.end(Ending.ANSWER_BEFORE)
 
     def _refuse(self, status: HTTPStatus) -> None:
         """Answer a request that can't be read, after those before it."""
@@ -341,10 +369,10 @@
         if self._transport and not self._transport.is_closing():
             self._transport.write(wire)
 
-    def _cancel_all(self) -> None:
+    def _cancel_all(self, ending: Ending) -> None:
         for exchange in self.exchanges:
             if exchange.task:
-                exchange.task.cancel()
+                exchange.task.cancel(ending)
         self.exchanges.clear()
 
 
--- a/src/ragwortstand/sidecar.py
+++ b/src/ragwortstand/sidecar.py
@@ -145,9 +145,15 @@
             await self._stopping.wait()
             await self._stop.run(self._callers, self._settings.grace_s)
             await self._spread_soon()
+            self._log.emit(
+                Event.STOPPED,
+                exit=0,
+                callers=self._callers.in_flight,
+                forwarded=self._forwarded.in_flight,
+                unsent_bytes=self._callers.unsent_bytes,
+            )
             tasks.cancel_scope.cancel()
         self._links.close()
-        self._log.emit(Event.STOPPED, exit=0)
 
     def stop(self) -> None:
         """Begin a graceful stop."""
--- a/tests/test_event_lines.py
+++ b/tests/test_event_lines.py
@@ -1,5 +1,6 @@
 """Every outcome and every change of belief has its line in the log."""
 
+import asyncio
 import itertools
 import pathlib
 import random
@@ -21,7 +22,7 @@
 from ragwortstand.callers.splits import WeightedSplits
 from ragwortstand.calls import Call
 from ragwortstand.events import Event
-from ragwortstand.http_server import CallerRequest
+from ragwortstand.http_server import CallerRequest, Ending
 from ragwortstand.ids import ServiceName, Version
 from ragwortstand.metrics import Metrics
 from ragwortstand.settings import parse_settings
@@ -76,6 +77,14 @@
         return self._outcome
 
 
+class _SlowDispatcher:
+    """Takes longer than any caller waits."""
+
+    async def dispatch(self, call: Call) -> Outcome:
+        await anyio.sleep_forever()
+        raise AssertionError
+
+
 def _request(target: str) -> CallerRequest:
     return CallerRequest('GET', target, (), b'', clock.now_s())
 
@@ -114,6 +123,32 @@
         self.assertEqual(fields['cause'], Cause.NO_ROUTE.value)
         self.assertEqual(fields['request'], 'r-1')
 
+    def test_a_request_that_is_given_up_has_its_line(self) -> None:
+        """It says who ended the connection, as the request has no outcome."""
+        for ending in Ending:
+            with self.subTest(ending=ending):
+                self.log = ListLog()
+                asyncio.run(self._abandon(ending))
+                self.assertEqual(self.log.events, [Event.ABANDONED])
+                fields = self.log.lines[0]
+                self.assertEqual(fields['request'], 'r-1')
+                self.assertEqual(fields['ended_by'], ending.value)
+
+    async def _abandon(self, ending: Ending) -> None:
+        proxy = Proxy(
+            lambda: Snapshot(_VERSION, MESH, b''),
+            cast(Dispatcher, _SlowDispatcher()),
+            _Dialect(),
+            WeightedSplits(random.Random(1)),
+            Metrics(),
+            self.log,
+        )
+        answer = asyncio.create_task(proxy.answer(_request('/slips')))
+        await anyio.sleep(0.01)
+        answer.cancel(ending)
+        with self.assertRaises(asyncio.CancelledError):
+            await answer
+
     def _check(self, outcome: Outcome) -> None:
         is_failure = isinstance(outcome, Answered) and outcome.status >= 500
         event = Event.FAILED if is_failure else _LINES[outcome.verdict]
