--- a/tests/test_graceful_stop.py
+++ b/tests/test_graceful_stop.py
@@ -16,6 +16,9 @@
 from tests.fakes import ListLog, member
 from tests.servers import running_http
 
+_GRACE_S = 6.0
+# How long before the signal a request begins.
+_STARTED_BEFORE_S = 0.1
 _REQUEST = b'GET /a HTTP/1.1\r\nhost: h\r\n\r\n'
 
 
@@ -96,3 +99,30 @@
         self.assertLess(clock.now_s() - started_s, 3.0)
         self.assertIs(parts.members.own.state, MemberState.LEFT)
         self.assertGreater(parts.told, 0)
+
+
+class LongWorkTests(unittest.IsolatedAsyncioTestCase):
+    """What is under way when a stop begins, and takes its time."""
+
+    # Guards against LOST: requests were cut while their server still worked.
+    async def test_work_is_not_cut_before_the_last_sixth_of_the_grace(
+        self,
+    ) -> None:
+        parts = _Parts()
+        parts.delay_s = _GRACE_S * 5 / 6 + _STARTED_BEFORE_S
+        found = b''
+
+        async def ask(port: int) -> None:
+            nonlocal found
+            async with await anyio.connect_tcp('127.0.0.1', port) as stream:
+                await stream.send(_REQUEST)
+                found = await stream.receive()
+
+        async with (
+            anyio.create_task_group() as tasks,
+            running_http(parts.server) as port,
+        ):
+            tasks.start_soon(ask, port)
+            await anyio.sleep(_STARTED_BEFORE_S)
+            await parts.stop.run(parts.server, _GRACE_S)
+        self.assertIn(b'200 OK', found)
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -1,5 +1,7 @@
 """Tests of the HTTP server for callers, over loopback."""
 
+import contextlib
+import socket
 import unittest
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -20,6 +22,8 @@
     idle_timeout_s=0.3,
 )
 _CLOSE = b'connection: close'
+# More than the buffers of a connection hold.
+_LARGE_BYTES = 8 * 1024 * 1024
 
 
 class _Server:
@@ -32,6 +36,7 @@
         self.requests: list[CallerRequest] = []
         self.cancelled = 0
         self.last = anyio.Event()
+        self.body: bytes | None = None
         self.http = HttpServer(self.answer, lambda: _LIMITS, ListLog())
 
     async def answer(self, request: CallerRequest) -> Answered:
@@ -48,7 +53,8 @@
             raise
         if request.target == '/fails':
             raise RuntimeError('no')
-        return Answered(200, ((b'x-a', b'b'),), request.target.encode())
+        body = request.target.encode() if self.body is None else self.body
+        return Answered(200, ((b'x-a', b'b'),), body)
 
 
 @asynccontextmanager
@@ -144,6 +150,65 @@
             self.assertLess(found.index(b'/slow1'), found.index(_CLOSE))
 
 
+class ClosingTests(unittest.IsolatedAsyncioTestCase):
+    """Connections that the server ends while callers go on sending."""
+
+    # Guards against LOST: the close reset the connection and the answer.
+    async def test_last_answer_survives_requests_sent_behind_it(self) -> None:
+        server = _Server()
+        server.body = b'x' * _LARGE_BYTES
+        async with running_http(server.http) as port:
+            caller = socket.socket()
+            caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            with caller:
+                caller.connect(('127.0.0.1', port))
+                caller.sendall(_get(b'/slow'))
+                await anyio.sleep(0.05)
+                server.http.close_idle()
+                await anyio.sleep(0.3)
+                caller.sendall(_get(b'/behind'))
+                found = await anyio.to_thread.run_sync(_read_all, caller)
+        self.assertIn(_CLOSE, found)
+        self.assertEqual(found.count(b'x'), _LARGE_BYTES)
+        self.assertEqual(len(server.requests), 1)
+
+    # Guards against LOST: connections were closed before their first request.
+    async def test_new_connection_gets_to_send_its_request(self) -> None:
+        async with _connected() as (server, stream):
+            await anyio.sleep(0.05)
+            server.http.close_idle()
+            await anyio.sleep(0.05)
+            await stream.send(_get(b'/first'))
+            found = await _read(stream, 99, b'never')
+            self.assertIn(b'200 OK', found)
+            self.assertIn(_CLOSE, found)
+
+    # Guards against LOST: the exit dropped answers for slow callers.
+    async def test_answers_that_are_not_sent_yet_are_under_way(self) -> None:
+        server = _Server()
+        server.body = b'x' * _LARGE_BYTES
+        async with running_http(server.http) as port:
+            with socket.socket() as caller:
+                caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+                caller.connect(('127.0.0.1', port))
+                caller.sendall(_get(b'/one', _CLOSE))
+                await anyio.sleep(0.2)
+                self.assertEqual(server.http.in_flight, 1)
+                await anyio.to_thread.run_sync(_read_all, caller)
+            await anyio.sleep(0.05)
+            self.assertEqual(server.http.in_flight, 0)
+
+
+def _read_all(caller: socket.socket) -> bytes:
+    """Read until the other end closes or resets the connection."""
+    found = b''
+    caller.settimeout(3)
+    with contextlib.suppress(ConnectionError, TimeoutError):
+        while part := caller.recv(1 << 16):
+            found += part
+    return found
+
+
 class CallerGoneTests(unittest.IsolatedAsyncioTestCase):
     """Callers that close their connection."""
 
