Close callers' connections without losing what is on its way

Callers lost answers, and requests that they had just sent, when a daemon ended their connection. The server closed its socket as if nothing were on its way: more requests behind the last answer made the operating system reset the connection and drop the answer; answers that waited for a slow link did not count as under way, so that the exit dropped them; and a connection that was accepted a moment before the stop was reset before its first request was read.

A connection that the server ends now ends its sending side first and is closed when the caller has closed its own, or takes nothing more for a second. A request is under way until the operating system has the last byte of its answer. A new connection is left alone for 0.3 s. A caller that stops reading is let go after the idle timeout.

--- a/src/ragwortstand/http_server.py
+++ b/src/ragwortstand/http_server.py
@@ -18,6 +18,7 @@
 
 from ragwortstand import clock
 from ragwortstand.events import Event, EventLog
+from ragwortstand.lingering import LingeringClose
 from ragwortstand.models import CallerLimits
 from ragwortstand.verdicts import Answered, Header, Headers
 
@@ -29,6 +30,9 @@
 _RESUME_PIPELINED = 16
 # How often header and idle timeouts are checked; well below either limit.
 _SWEEP_S = 1.0
+# A connection is left alone this long before its first request: callers send
+# it as soon as they are connected, one round trip later.
+_FIRST_REQUEST_S = 0.3
 # Statuses whose answers have no body (RFC 9110, section 6.4.1).
 _WITHOUT_BODY = frozenset((204, 304))
 
@@ -117,8 +121,13 @@
 
     @property
     def in_flight(self) -> int:
-        """Return how many requests are being answered."""
-        return sum(len(one.exchanges) for one in self.connections)
+        """Return how many requests are under way.
+
+        A request is under way until the operating system has the last byte
+        of its answer. New connections count as one request for a moment.
+        """
+        now_s = clock.now_s()
+        return sum(one.in_flight(now_s) for one in self.connections)
 
     @property
     def unsent_bytes(self) -> int:
@@ -152,8 +161,9 @@
     def close_idle(self) -> None:
         """End kept connections: idle ones now, others with their answers."""
         self.is_closing = True
+        now_s = clock.now_s()
         for connection in tuple(self.connections):
-            connection.close_if_idle()
+            connection.close_if_idle(now_s)
 
     def _sweep(self, now_s: float) -> None:
         limits = self.limits()
@@ -173,7 +183,10 @@
         self._parser = httptools.HttpRequestParser(self)
         self._transport: asyncio.Transport | None = None
         self._incoming: _Incoming | None = None
-        self._idle_since_s = clock.now_s()
+        self._opened_at_s = clock.now_s()
+        self._idle_since_s = self._opened_at_s
+        self._has_begun = False
+        self._linger_end: LingeringClose | None = None
         self._is_refused = False
         self._has_completed = False
         self.exchanges: deque[_Exchange] = deque()
@@ -202,8 +215,9 @@
 
     def data_received(self, data: bytes) -> None:
         """Feed the parser."""
-        if self._is_refused:
+        if self._is_refused or self._linger_end:
             return
+        self._has_begun = True
         self._has_completed = False
         try:
             self._parser.feed_data(data)
@@ -277,9 +291,25 @@
         loop = asyncio.get_running_loop()
         exchange.task = loop.create_task(self._run(exchange))
 
-    def close_if_idle(self) -> None:
-        """Close the connection unless a request is under way."""
-        if self._transport and not self.exchanges and self._incoming is None:
+    def in_flight(self, now_s: float) -> int:
+        """Return how many requests are under way.
+
+        :param now_s: present time.
+        """
+        is_busy = (
+            self._incoming is not None
+            or self._linger_end is not None
+            or self._is_new(now_s)
+            or self.unsent_bytes > 0
+        )
+        return max(len(self.exchanges), int(is_busy))
+
+    def close_if_idle(self, now_s: float) -> None:
+        """Close the connection unless a request is under way.
+
+        :param now_s: present time.
+        """
+        if self._transport and not self.in_flight(now_s):
             self._transport.close()
 
     def end(self, ending: Ending) -> None:
@@ -302,7 +332,9 @@
             if now_s - incoming.since_s > limits.header_timeout_s:
                 self._refuse(HTTPStatus.REQUEST_TIMEOUT)
         elif now_s - self._idle_since_s > limits.idle_timeout_s:
-            self.close_if_idle()
+            if self.unsent_bytes and not self.exchanges:
+                self._linger()
+            self.close_if_idle(now_s)
 
     async def _run(self, exchange: _Exchange) -> None:
         try:
@@ -322,8 +354,8 @@
             exchange = self.exchanges.popleft()
             self._send(exchange)
         self._idle_since_s = clock.now_s()
-        if self._transport and len(self.exchanges) < _RESUME_PIPELINED:
-            self._transport.resume_reading()
+        if len(self.exchanges) < _RESUME_PIPELINED:
+            self._resume()
 
     def _send(self, exchange: _Exchange) -> None:
         """Send one answer.
@@ -337,9 +369,32 @@
         if exchange.answered is not None:
             is_head = exchange.request.method == 'HEAD'
             self._write(encode_answer(exchange.answered, is_last, is_head))
-        if is_last:
+        if is_last and (exchange.keeps_alive or self._is_refused):
+            self._linger()
+        elif is_last:
             self.end(Ending.ANSWER_BEFORE)
 
+    def _is_new(self, now_s: float) -> bool:
+        """Return whether the first request may still be on its way."""
+        if self._has_begun:
+            return False
+        return now_s - self._opened_at_s < _FIRST_REQUEST_S
+
+    def _resume(self) -> None:
+        if self._transport:
+            self._transport.resume_reading()
+
+    def _linger(self) -> None:
+        """End the sending side, and close when the caller has done so too.
+
+        What comes in from now on was sent behind an answer that ends the
+        connection, and is discarded.
+        """
+        if self._linger_end or not self._transport:
+            return
+        self._cancel_all(Ending.ANSWER_BEFORE)
+        self._linger_end = LingeringClose(self._transport)
+
     def _refuse(self, status: HTTPStatus) -> None:
         """Answer a request that can't be read, after those before it."""
         if self._is_refused:
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -169,7 +169,7 @@
                 caller.sendall(_get(b'/behind'))
                 found = await anyio.to_thread.run_sync(_read_all, caller)
         self.assertIn(_CLOSE, found)
-        self.assertEqual(found.count(b'x'), _LARGE_BYTES)
+        self.assertEqual(len(found.partition(b'\r\n\r\n')[2]), _LARGE_BYTES)
         self.assertEqual(len(server.requests), 1)
 
     # Guards against LOST: connections were closed before their first request.
@@ -198,6 +198,19 @@
             await anyio.sleep(0.05)
             self.assertEqual(server.http.in_flight, 0)
 
+    async def test_callers_that_stop_reading_are_let_go(self) -> None:
+        server = _Server()
+        server.body = b'x' * _LARGE_BYTES
+        async with running_http(server.http) as port:
+            with socket.socket() as caller:
+                caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+                caller.connect(('127.0.0.1', port))
+                caller.sendall(_get(b'/one'))
+                await anyio.sleep(0.2)
+                self.assertEqual(len(server.http.connections), 1)
+                await anyio.sleep(_LIMITS.idle_timeout_s + 3)
+                self.assertEqual(len(server.http.connections), 0)
+
 
 def _read_all(caller: socket.socket) -> bytes:
     """Read until the other end closes or resets the connection."""
