Let work that is under way at a stop use the grace period

A daemon that stops gave up on what was under way 1.2 s before the end of its grace period; with 6 s of grace its process was gone after 4.95 s. A request whose server works longer was cut while its server was still at work. On servers with 60 to 150 ms of work that never happens; with 340 to 840 ms and servers that have become slow it does.

The stop now keeps 0.4 s for the exit. It tells the others that the daemon leaves while the last requests end, not after them. New requests are refused 0.2 s earlier, and work of other daemons that would outlast the stop at the server's present pace is sent elsewhere at once, as it has not run.

--- a/src/ragwortstand/graceful_stop.py
+++ b/src/ragwortstand/graceful_stop.py
@@ -5,6 +5,7 @@
 are new requests refused, and what is under way has the rest of the time.
 """
 
+import math
 from collections.abc import Callable
 
 import anyio
@@ -25,13 +26,16 @@
 # The backend server stays in use by other daemons this long after the signal;
 # their requests have more than twice as long to end.
 _SERVE_PEERS_S = 1.5
+# Requests take up to this many times the mean; a longer one is rare.
+_LONG_WORK = 2.0
 # New requests of callers are refused this long after the signal; what began
 # before has the rest of the grace period.
-_REFUSE_AFTER_S = 3.0
-# Kept of the grace period for telling the others and for the exit itself.
-_EXIT_RESERVE_S = 1.2
-# Last requests that were on their way when the daemon stopped listening are
-# answered within this time.
+_REFUSE_AFTER_S = 2.8
+# Kept of the grace period for the exit itself.
+_EXIT_RESERVE_S = 0.4
+# The daemon stops listening this long before the exit at the latest. Last
+# requests that were on their way then are answered within this time, and the
+# others hear that this daemon leaves.
 _LAST_S = 0.15
 
 
@@ -59,6 +63,7 @@
         self._members = members
         self._tell = tell
         self._log = log
+        self._end_s = math.inf
         self.is_leaving = False
 
     async def run(self, callers: HttpServer, grace_s: float) -> None:
@@ -75,18 +80,31 @@
         )
         callers.close_idle()
         end_s = started_s + grace_s - _EXIT_RESERVE_S
+        self._end_s = end_s
         now_s = started_s
-        while now_s < end_s:
+        while now_s < end_s - _LAST_S:
             self._refuse_more(now_s - started_s)
-            in_flight = callers.in_flight + self._forwarded.in_flight
-            if not in_flight and self._is_quiet(now_s - started_s, now_s):
+            is_quiet = self._is_quiet(now_s - started_s, now_s)
+            if is_quiet and not self._is_busy(callers):
                 break
             await anyio.sleep(_POLL_S)
             now_s = clock.now_s()
         await self._close(callers, end_s)
 
+    def refuses_work(self, service_s: float, now_s: float) -> bool:
+        """Return whether work of other daemons is to go elsewhere.
+
+        :param service_s: time that the backend server takes for a request.
+        :param now_s: present time.
+        """
+        finish_s = now_s + service_s * _LONG_WORK
+        return self.is_leaving or finish_s > self._end_s
+
+    def _is_busy(self, callers: HttpServer) -> bool:
+        return bool(callers.in_flight or self._forwarded.in_flight)
+
     async def _close(self, callers: HttpServer, end_s: float) -> None:
-        """Close the door, and answer what was already on its way.
+        """Stop listening, and answer what was already on its way.
 
         A request that was read must not be cut by the exit: from here on new
         ones are refused, and open connections end when they are idle.
@@ -95,12 +113,14 @@
         self._members.update_own(is_ready=False, state=MemberState.LEFT)
         self._tell()
         callers.stop_listening()
-        quiet_at_s = clock.now_s() + _LAST_S
-        now_s = quiet_at_s - _LAST_S
-        while now_s < quiet_at_s or (callers.in_flight and now_s < end_s):
+        now_s = clock.now_s()
+        quiet_at_s = now_s + _LAST_S
+        while now_s < min(quiet_at_s, end_s):
             callers.close_idle()
             await anyio.sleep(_POLL_S)
             now_s = clock.now_s()
+            if self._is_busy(callers):
+                quiet_at_s = now_s + _LAST_S
 
     def _refuse_more(self, elapsed_s: float) -> None:
         """Refuse work of other daemons first, and that of callers later."""
--- a/src/ragwortstand/sidecar.py
+++ b/src/ragwortstand/sidecar.py
@@ -144,7 +144,6 @@
             self._log.emit(Event.LISTENING, boot=self._boot)
             await self._stopping.wait()
             await self._stop.run(self._callers, self._settings.grace_s)
-            await self._spread_soon()
             self._log.emit(
                 Event.STOPPED,
                 exit=0,
@@ -316,7 +315,7 @@
             self._backend_server,
             self._backend_server.load,
             self._snapshot,
-            lambda: self._stop.is_leaving,
+            self._refuses_work,
             self._boot,
             self._log,
         )
@@ -373,6 +372,11 @@
         snapshot = self._gate.snapshot
         return snapshot.mesh.limits if snapshot else CallerLimits()
 
+    def _refuses_work(self) -> bool:
+        now_s = clock.now_s()
+        service_s = self._backend_server.load(now_s).service_s
+        return self._stop.refuses_work(service_s, now_s)
+
     def _on_backend_server(self) -> None:
         announcement = self._backend_server.announcement
         is_ready = self._backend_server.state is BackendState.READY
--- a/tests/test_graceful_stop.py
+++ b/tests/test_graceful_stop.py
@@ -126,3 +126,24 @@
             await anyio.sleep(_STARTED_BEFORE_S)
             await parts.stop.run(parts.server, _GRACE_S)
         self.assertIn(b'200 OK', found)
+
+
+class RefusedWorkTests(unittest.IsolatedAsyncioTestCase):
+    """Work of other daemons that arrives while a daemon stops."""
+
+    # Guards against LOST: work was begun that the exit was bound to cut.
+    async def test_work_that_would_outlast_the_stop_goes_elsewhere(
+        self,
+    ) -> None:
+        parts = _Parts()
+        self.assertFalse(parts.stop.refuses_work(60.0, clock.now_s()))
+        async with (
+            anyio.create_task_group() as tasks,
+            running_http(parts.server),
+        ):
+            tasks.start_soon(parts.stop.run, parts.server, _GRACE_S)
+            await anyio.sleep(0.1)
+            now_s = clock.now_s()
+            self.assertFalse(parts.stop.refuses_work(0.4, now_s))
+            self.assertTrue(parts.stop.refuses_work(4.0, now_s))
+            tasks.cancel_scope.cancel()
