Let replies leave before the links of a stopping daemon close

A daemon that stops reset its links to the others, and replies that the operating system had not delivered were dropped: the daemon that waited for one told its caller that the request may have run. Links are now closed after what was sent. The test, a reply larger than the buffers of a connection, got a lost link before and the reply now.

--- a/src/ragwortstand/peers/frames.py
+++ b/src/ragwortstand/peers/frames.py
@@ -77,6 +77,11 @@
         """Take in a frame."""
         raise NotImplementedError
 
+    def close(self) -> None:
+        """Close the connection after what was sent."""
+        if self.transport is not None:
+            self.transport.close()
+
     def abort(self) -> None:
         """Reset the connection, so that bytes under way are not delivered.
 
--- a/src/ragwortstand/peers/stream_listener.py
+++ b/src/ragwortstand/peers/stream_listener.py
@@ -86,7 +86,7 @@
         finally:
             server.close()
             for connection in tuple(self.connections):
-                connection.abort()
+                connection.close()
 
     async def answer(self, wire: bytes, handler: Handler) -> Reply:
         """Return the reply to an encoded request.
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -26,6 +26,8 @@
     Reply,
     Request,
     Work,
+    WorkDone,
+    work_done,
 )
 from ragwortstand.peers.stream_listener import StreamListener
 from ragwortstand.peers.streams import StreamLinks
@@ -43,6 +45,8 @@
 
 _LIMIT_BYTES = 100_000
 _BOOT = 7
+# More than the buffers of a connection hold.
+_LARGE_BYTES = 8 * 1024 * 1024
 # Connections to a busy test process take longer than those to a peer may.
 _CONNECT_TIMEOUT_S = 3.0
 
@@ -331,6 +335,42 @@
             self.assertEqual(outcome, Refused(Cause.LEAVING))
 
 
+class StoppedListenerTests(unittest.IsolatedAsyncioTestCase):
+    """A listener that stops right after it has answered."""
+
+    # Guards against LOST: a stop reset links with replies on their way.
+    async def test_reply_that_was_begun_arrives(self) -> None:
+        listener = StreamListener('c', _LARGE_BYTES * 2, Metrics(), ListLog())
+        socket = bind('127.0.0.1', 0)
+        socket.listen()
+        links = StreamLinks(
+            'c',
+            HostId('a'),
+            Metrics(),
+            ListLog(),
+            _LARGE_BYTES * 2,
+            lambda address: 'zone',
+            _CONNECT_TIMEOUT_S,
+        )
+        address = PeerAddress(f'tcp://127.0.0.1:{port_of(socket)}')
+        scope = anyio.CancelScope()
+
+        async def handle(sender: HostId, request: Request) -> Reply:
+            asyncio.get_running_loop().call_later(0.001, scope.cancel)
+            answered = Answered(200, (), b'x' * _LARGE_BYTES)
+            return work_done(answered, 0)
+
+        async def serve() -> None:
+            with scope:
+                await listener.serve(socket, handle)
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(serve)
+            reply = await links.ask(address, _work('w'), timeout_s=3)
+            links.close()
+        self.assertIsInstance(reply, WorkDone)
+
+
 class KeptOutcomeTests(unittest.TestCase):
     """How long a daemon remembers what it ran for others."""
 
