Keep asking for work that was handed to another daemon

Callers got 502 for filings that a backend server was at work on: the link between the two daemons was reset, the one try at a new link failed within 0.25 s, and the request was given up; the other daemon cut the run 0.4 s after the reset.

Work that may not be repeated has one way to an answer, so it is now asked for until its deadline, unless nothing listens at the peer's address any more or another process does, and it goes on to its end without a link. A caller that leaves still cancels it. Work that may be repeated keeps its two tries, the second one a moment after a link that could not be opened; then another server is the quicker way.

--- a/src/ragwortstand/exceptions.py
+++ b/src/ragwortstand/exceptions.py
@@ -72,6 +72,17 @@
         self.verdict = verdict
 
 
+class PeerGoneError(PeerError):
+    """The process of a daemon has ended: nothing listens at its address.
+
+    :param problem: what happened.
+    """
+
+    def __init__(self, problem: str) -> None:
+        """Nothing was processed."""
+        super().__init__(problem, Verdict.NOT_RUN)
+
+
 class BackendServerError(RagwortstandError):
     """An exchange with a backend server failed.
 
--- a/src/ragwortstand/peers/forwarding.py
+++ b/src/ragwortstand/peers/forwarding.py
@@ -15,7 +15,7 @@
 from ragwortstand.backend_servers import Load
 from ragwortstand.calls import Call
 from ragwortstand.events import Event, EventLog, NullLog
-from ragwortstand.exceptions import PeerError
+from ragwortstand.exceptions import PeerError, PeerGoneError
 from ragwortstand.ids import IdempotencyKey, RequestId, Version
 from ragwortstand.models import Rank, Service
 from ragwortstand.peers.messages import (
@@ -35,12 +35,17 @@
 
 _ANSWER_GRACE_S = 0.05
 _CANCEL_TIMEOUT_S = 1.0
-# Copies of work beyond the first, each over a link of its own.
+# Copies of idempotent work beyond the first, each over a link of its own; then
+# another backend server is the quicker way to an answer. Other work has no
+# other way, and is asked for until its deadline.
 _MAX_RESENDS = 2
+# Pause before a copy when a link could not be opened.
+_RESEND_PAUSE_S = 0.1
 # Less time than this is not enough for a new link and an answer.
 _MIN_RESEND_S = 0.02
-# How long work goes on without a link, so that its sender can ask again.
-# Below the half second in which work must end after its caller has gone.
+# How long idempotent work goes on without a link, so that its sender can ask
+# again. Below the half second in which work must end after its caller has gone.
+# Other work goes on to its end, as it may not be run again.
 _REATTACH_S = 0.4
 # Outcomes are kept longer than a sender tries to get them again.
 _KEEP_OUTCOME_S = 5.0
@@ -118,6 +123,8 @@
                 if not _may_resend(error, call, member, resends):
                     return Attempt(_outcome_of_error(error, call, resends), 0)
                 resends += 1
+                if error.verdict is Verdict.NOT_RUN:
+                    await anyio.sleep(_RESEND_PAUSE_S)
                 continue
             if not isinstance(reply, WorkDone):
                 return Attempt(Unknown(Cause.INTERNAL), 0)
@@ -200,9 +207,7 @@
             return await asyncio.shield(run.result)
         finally:
             run.waiters -= 1
-            if not run.waiters and not run.result.done():
-                loop = asyncio.get_running_loop()
-                loop.call_later(_REATTACH_S, _abandon, run)
+            _cancel_later_if_orphaned(run, work)
 
     def cancel(self, request: CancelWork) -> Done:
         """Cancel a request whose caller has gone."""
@@ -282,6 +287,13 @@
         )
 
 
+def _cancel_later_if_orphaned(run: _Run, work: Work) -> None:
+    if run.waiters or run.result.done() or not work.is_idempotent:
+        return
+    loop = asyncio.get_running_loop()
+    loop.call_later(_REATTACH_S, _abandon, run)
+
+
 def _abandon(run: _Run) -> None:
     """Cancel work that nobody has asked for again in time."""
     if not run.waiters:
@@ -314,9 +326,17 @@
     member: Member,
     resends: int,
 ) -> bool:
-    if error.verdict is Verdict.NOT_RUN or not member.boot:
+    """Return whether work is asked for once more.
+
+    It may run at the daemon that it was handed to. That daemon knows it by
+    its id as long as the process is the same.
+    """
+    was_handed_over = resends or error.verdict is not Verdict.NOT_RUN
+    if not was_handed_over or not member.boot:
+        return False
+    if isinstance(error, PeerGoneError):
         return False
-    if resends >= _MAX_RESENDS:
+    if call.is_idempotent and resends >= _MAX_RESENDS:
         return False
     return call.remaining_s(clock.now_s()) > _MIN_RESEND_S
 
--- a/src/ragwortstand/peers/streams.py
+++ b/src/ragwortstand/peers/streams.py
@@ -13,7 +13,7 @@
 
 from ragwortstand import clock
 from ragwortstand.events import Event, EventLog
-from ragwortstand.exceptions import PeerError
+from ragwortstand.exceptions import PeerError, PeerGoneError
 from ragwortstand.ids import HostId, PeerAddress
 from ragwortstand.metrics import Metrics
 from ragwortstand.peers.frames import FrameKind, Frames
@@ -219,6 +219,8 @@
             except OSError as error:
                 until_s = clock.now_s() + _REDIAL_PAUSE_S
                 self._refused_until_s[address] = until_s
+                if isinstance(error, ConnectionRefusedError):
+                    raise PeerGoneError(str(error)) from error
                 raise PeerError(str(error), Verdict.NOT_RUN) from error
             self._dialled[address] = link
             return link
