Tell a bounded number of daemons of a version

Each daemon told each other one of a version that it had applied: 89 offers sent and 89 answered by each of 90 daemons, 8,010 offers a version, most of them to daemons that had it. In a storm of four versions a second that is 1,400 messages a second at each daemon beside its requests; daemons that are late are one suspect of the incident.

A daemon now tells eight others, five of them in its own availability zone: 720 offers a version at 90 daemons. An offer that misses a daemon is made up by the next probe, at most a second later.

--- a/src/ragwortstand/peers/distribution.py
+++ b/src/ragwortstand/peers/distribution.py
@@ -31,6 +31,7 @@
     VersionContent,
 )
 from ragwortstand.peers.protocols import PeerLinks
+from ragwortstand.peers.push_targets import push_targets
 from ragwortstand.peers.version_sources import DistributionPolicy, VersionSource
 from ragwortstand.rendezvous import ranked
 from ragwortstand.storage import VersionRecord
@@ -315,8 +316,13 @@
         own = self._members.own
         peers = self._members.peers()
         if self._policy.is_flat:
-            fanout = min(self._policy.fanout, len(peers))
-            return self._rng.sample(peers, fanout)
+            return push_targets(
+                own,
+                peers,
+                self._policy.fanout,
+                self._policy.far_fanout,
+                self._rng,
+            )
         near = [peer for peer in peers if peer.region == own.region]
         fanout = min(self._policy.fanout, len(near))
         chosen = self._rng.sample(near, fanout)
--- a/src/ragwortstand/peers/version_sources.py
+++ b/src/ragwortstand/peers/version_sources.py
@@ -77,7 +77,8 @@
 
     :param is_pushing: whether a daemon tells others of a version it applied;
         otherwise each reads the whole configuration itself.
-    :param fanout: members of the region that a daemon tells.
+    :param fanout: members that a daemon tells; of its region unless flat.
+    :param far_fanout: how many of them are in other availability zones.
     :param is_flat: whether members of all regions are told alike, without
         bridges; for small fleets.
     :param standby_delay_s: how long the second reader leaves a new version to
@@ -93,6 +94,7 @@
 
     is_pushing: bool = True
     fanout: int = 4
+    far_fanout: int = 2
     is_flat: bool = False
     standby_delay_s: float = 1.0
     store_region: str | None = None
--- a/src/ragwortstand/sidecar.py
+++ b/src/ragwortstand/sidecar.py
@@ -62,9 +62,11 @@
 _MESSAGE_OVERHEAD_BYTES = 4 * 1024 * 1024
 # How long acknowledgements wait for peers to hear that a server leaves.
 _SPREAD_TIMEOUT_S = 0.5
-# Members that are told of changes and versions directly; beyond this number
-# gossip carries them on.
-_FANOUT = 100
+# Members that a daemon tells of a new version, and how many of them are in
+# other availability zones. One daemon in 3,000 (e to the power of -8) is
+# missed by all others and hears of the version with the next probe.
+_FANOUT = 8
+_FAR_FANOUT = 3
 # Between two looks whether the backend server still announces itself; it does
 # about once a second.
 _EXPIRE_S = 0.5
@@ -234,6 +236,7 @@
             self._links,
             DistributionPolicy(
                 fanout=_FANOUT,
+                far_fanout=_FAR_FANOUT,
                 is_flat=True,
                 standby_delay_s=0,
                 # One read of the source brings the whole content.
