Use unchanged routes again when a version is decoded

A version carries all routes, of which few change, and every daemon decoded, checked and compiled each of them anew. The gate now keeps the text of each route of the last version with its object and decodes only what is new, and the reader of the operator's row does the same for its rows. Names and duplicates are still checked over the whole version.

Ruled out: compressing a version for a peer, 1 ms from the version before it, and decompressing, 0.1 ms.

--- a/src/ragwortstand/models.py
+++ b/src/ragwortstand/models.py
@@ -170,27 +170,77 @@
         return tuple(_cross_faults(self))
 
 
-_DECODER = msgspec.json.Decoder(Configuration)
+class _Outline(_Model, frozen=True, kw_only=True):
+    """A configuration whose routes are still text."""
+
+    ranks: tuple[Rank, ...]
+    services: tuple[Service, ...]
+    routes: list[msgspec.Raw] = []
+    limits: CallerLimits = CallerLimits()
+
+
+_OUTLINE = msgspec.json.Decoder(_Outline)
+_ROUTE = msgspec.json.Decoder(Route)
+_WHOLE = msgspec.json.Decoder(Configuration)
+
+
+class ConfigurationReader:
+    """Decodes one version after the other.
+
+    Most routes of a version are those of the one before, so that their
+    objects are used again.
+    """
+
+    def __init__(self) -> None:
+        """Start without routes."""
+        self._routes: dict[bytes, Route] = {}
+
+    def decode(self, content: bytes) -> Configuration:
+        """Return a configuration after a check of the whole of it.
+
+        :param content: JSON in UTF-8.
+        :raises ConfigurationError: with the first fault of the form, or with
+            all faults between the parts.
+        """
+        if len(content) > MAX_CONFIGURATION_BYTES:
+            problem = f'larger than {MAX_CONFIGURATION_BYTES} bytes'
+            raise ConfigurationError([Fault('$', problem)])
+        try:
+            mesh = self._decoded(content)
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            raise ConfigurationError([Fault('$', str(error))]) from error
+        faults = mesh.faults()
+        if faults:
+            raise ConfigurationError(faults)
+        return mesh
+
+    def _decoded(self, content: bytes) -> Configuration:
+        outline = _OUTLINE.decode(content)
+        texts = [bytes(text) for text in outline.routes]
+        known = self._routes
+        try:
+            routes = {
+                text: known.get(text) or _ROUTE.decode(text) for text in texts
+            }
+        except msgspec.DecodeError:
+            # Names the place in the whole document.
+            return _WHOLE.decode(content)
+        self._routes = routes
+        return Configuration(
+            ranks=outline.ranks,
+            services=outline.services,
+            routes=tuple(routes[text] for text in texts),
+            limits=outline.limits,
+        )
 
 
 def decode(content: bytes) -> Configuration:
     """Return a configuration after a check of the whole of it.
 
     :param content: JSON in UTF-8.
-    :raises ConfigurationError: with the first fault of the form, or with all
-        faults between the parts.
+    :raises ConfigurationError: when it is not sound.
     """
-    if len(content) > MAX_CONFIGURATION_BYTES:
-        problem = f'larger than {MAX_CONFIGURATION_BYTES} bytes'
-        raise ConfigurationError([Fault('$', problem)])
-    try:
-        mesh = _DECODER.decode(content)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise ConfigurationError([Fault('$', str(error))]) from error
-    faults = mesh.faults()
-    if faults:
-        raise ConfigurationError(faults)
-    return mesh
+    return ConfigurationReader().decode(content)
 
 
 def digest_of(content: bytes) -> Digest:
@@ -230,33 +280,52 @@
 ) -> Iterator[Fault]:
     seen: set[tuple[str, str, str]] = set()
     for position, route in enumerate(mesh.routes):
-        path = f'$.routes[{position}]'
-        yield from _service_faults(route, path, services)
-        if route.rank not in ranks:
-            yield Fault(f'{path}.rank', f'no rank is named {route.rank!r}')
+        if not _names_known(route, ranks, services):
+            path = f'$.routes[{position}]'
+            yield from _name_faults(route, path, ranks, services)
         for method in route.methods or ('*',):
-            if (route.host, route.path, method) in seen:
+            key = (route.host, route.path, method)
+            if key in seen:
                 problem = f'{method} {route.host}{route.path} is routed twice'
-                yield Fault(f'{path}.path', problem)
-            seen.add((route.host, route.path, method))
+                yield Fault(f'$.routes[{position}].path', problem)
+            seen.add(key)
 
 
-def _service_faults(
+def _names_known(
+    route: Route,
+    ranks: frozenset[str],
+    services: frozenset[str],
+) -> bool:
+    if route.rank not in ranks or bool(route.service) == bool(route.backends):
+        return False
+    if route.service:
+        return route.service in services
+    return services.issuperset([part.service for part in route.backends])
+
+
+def _name_faults(
     route: Route,
     path: str,
+    ranks: frozenset[str],
     services: frozenset[str],
 ) -> Iterator[Fault]:
     if bool(route.service) == bool(route.backends):
         problem = 'needs a service or backends, and not both'
         yield Fault(f'{path}.service', problem)
-        return
-    if route.service:
-        names = {f'{path}.service': route.service}
+    elif route.service:
+        yield from _unknown_service(route.service, path, services)
     else:
-        names = {
-            f'{path}.backends[{position}].service': part.service
-            for position, part in enumerate(route.backends)
-        }
-    for place, name in names.items():
-        if name not in services:
-            yield Fault(place, f'no service is named {name!r}')
+        for position, part in enumerate(route.backends):
+            place = f'{path}.backends[{position}]'
+            yield from _unknown_service(part.service, place, services)
+    if route.rank not in ranks:
+        yield Fault(f'{path}.rank', f'no rank is named {route.rank!r}')
+
+
+def _unknown_service(
+    name: str,
+    path: str,
+    services: frozenset[str],
+) -> Iterator[Fault]:
+    if name not in services:
+        yield Fault(f'{path}.service', f'no service is named {name!r}')
--- a/src/ragwortstand/platform/configuration.py
+++ b/src/ragwortstand/platform/configuration.py
@@ -4,13 +4,15 @@
 """
 
 from types import MappingProxyType
-from typing import Any
+from typing import Any, NamedTuple, TypeVar
 
 import msgspec
 
 from ragwortstand.exceptions import ConfigurationError, Fault
 from ragwortstand.ids import Version
-from ragwortstand.models import Configuration
+from ragwortstand.models import Configuration, Route
+
+_Form = TypeVar('_Form')
 
 _IDEMPOTENT = MappingProxyType(
     {'idempotent': True, 'non_idempotent': False},
@@ -21,9 +23,14 @@
 _DEFAULT_GOAL_MS = 1_000.0
 
 
+class _Read(NamedTuple):
+    route: Route
+    urgency: tuple[int, float]
+
+
 class _Columns(msgspec.Struct, frozen=True):
     columns: list[str]
-    rows: list[list[Any]]
+    rows: list[msgspec.Raw]
 
 
 class _Part(msgspec.Struct, frozen=True):
@@ -69,64 +76,94 @@
     limits: _Limits = _Limits()
 
 
+class RowReader:
+    """Decodes one version of the operator's row after the other.
+
+    Most rows of a version are those of the one before, so that their routes
+    are used again.
+    """
+
+    def __init__(self) -> None:
+        """Start without routes."""
+        self._columns: list[str] = []
+        self._routes: dict[bytes, _Read] = {}
+
+    def decode(self, content: bytes) -> tuple[Version, Configuration]:
+        """Return the version and the configuration in the operator's row.
+
+        :param content: the value of the row.
+        :raises ConfigurationError: when it is not a whole, sound
+            configuration.
+        """
+        try:
+            row = msgspec.json.decode(content, type=_Row)
+            mesh = self._configuration(row)
+        except (msgspec.DecodeError, ValueError) as error:
+            raise ConfigurationError([Fault('$', str(error))]) from error
+        faults = mesh.faults()
+        if faults:
+            raise ConfigurationError(faults)
+        return Version(row.version), mesh
+
+    def _configuration(self, row: _Row) -> Configuration:
+        """Return the configuration with the bounds of all fields checked."""
+        columns = row.routes.columns
+        known = self._routes if columns == self._columns else {}
+        texts = [bytes(text) for text in row.routes.rows]
+        read = {text: known.get(text) or _read(columns, text) for text in texts}
+        self._columns = columns
+        self._routes = read
+        limits = row.limits
+        document = {
+            'ranks': [
+                {'name': _rank_name(urgency), 'target_s': urgency[1] / 1000}
+                for urgency in sorted({one.urgency for one in read.values()})
+            ]
+            or [{'name': 'none'}],
+            'services': [
+                _service(row.services.columns, bytes(text))
+                for text in row.services.rows
+            ],
+            'limits': {
+                'max_header_bytes': limits.max_header_bytes,
+                'max_body_bytes': limits.max_body_bytes,
+                'header_timeout_s': limits.header_timeout_ms / 1000,
+                'idle_timeout_s': limits.idle_timeout_ms / 1000,
+            },
+        }
+        mesh = msgspec.convert(document, Configuration)
+        routes = tuple(read[text].route for text in texts)
+        return msgspec.structs.replace(mesh, routes=routes)
+
+
 def decode_configuration(content: bytes) -> tuple[Version, Configuration]:
     """Return the version and the configuration in the operator's row.
 
     :param content: the value of the row.
     :raises ConfigurationError: when it is not a whole, sound configuration.
     """
-    try:
-        row = msgspec.json.decode(content, type=_Row)
-        routes = _structs(row.routes, _Route)
-        services = _structs(row.services, _Service)
-        mesh = _configuration(routes, services, row.limits)
-    except (msgspec.DecodeError, ValueError) as error:
-        raise ConfigurationError([Fault('$', str(error))]) from error
-    faults = mesh.faults()
-    if faults:
-        raise ConfigurationError(faults)
-    return Version(row.version), mesh
-
-
-def _structs(table: _Columns, form: type[Any]) -> list[Any]:
-    """Return one struct for each row; null means that a field is left out."""
-    found = []
-    for row in table.rows:
-        fields = {
-            name: cell
-            for name, cell in zip(table.columns, row, strict=True)
-            if cell is not None
-        }
-        found.append(msgspec.convert(fields, form))
-    return found
-
-
-def _configuration(
-    routes: list[_Route],
-    services: list[_Service],
-    limits: _Limits,
-) -> Configuration:
-    """Return the configuration with the bounds of all fields checked."""
-    ranks = sorted({_urgency(route) for route in routes})
-    document = {
-        'ranks': [
-            {'name': _rank_name(urgency), 'target_s': urgency[1] / 1000}
-            for urgency in ranks
-        ]
-        or [{'name': 'none'}],
-        'services': [
-            {'name': one.name, 'max_connections': one.max_conns}
-            for one in services
-        ],
-        'routes': [_route(route) for route in routes],
-        'limits': {
-            'max_header_bytes': limits.max_header_bytes,
-            'max_body_bytes': limits.max_body_bytes,
-            'header_timeout_s': limits.header_timeout_ms / 1000,
-            'idle_timeout_s': limits.idle_timeout_ms / 1000,
-        },
+    return RowReader().decode(content)
+
+
+def _struct(columns: list[str], text: bytes, form: type[_Form]) -> _Form:
+    """Return the struct in a row; null means that a field is left out."""
+    cells = msgspec.json.decode(text, type=list[Any])
+    fields = {
+        name: cell
+        for name, cell in zip(columns, cells, strict=True)
+        if cell is not None
     }
-    return msgspec.convert(document, Configuration)
+    return msgspec.convert(fields, form)
+
+
+def _read(columns: list[str], text: bytes) -> _Read:
+    route = _struct(columns, text, _Route)
+    return _Read(msgspec.convert(_route(route), Route), _urgency(route))
+
+
+def _service(columns: list[str], text: bytes) -> dict[str, Any]:
+    service = _struct(columns, text, _Service)
+    return {'name': service.name, 'max_connections': service.max_conns}
 
 
 def _route(route: _Route) -> dict[str, Any]:
--- a/src/ragwortstand/platform/store.py
+++ b/src/ragwortstand/platform/store.py
@@ -25,7 +25,7 @@
 from ragwortstand.ids import Digest, SubmissionId, Version
 from ragwortstand.metrics import Metrics
 from ragwortstand.models import digest_of
-from ragwortstand.platform.configuration import decode_configuration
+from ragwortstand.platform.configuration import RowReader
 from ragwortstand.storage import VersionRecord
 from ragwortstand.storage.table import (
     Row,
@@ -290,6 +290,7 @@
         """Start without a version."""
         self._client = client
         self._log = log
+        self._reader = RowReader()
         self._record: VersionRecord | None = None
         self._content = b''
         self._seen = 0
@@ -378,7 +379,7 @@
 
     def _take_row(self, row: _StoreRow) -> None:
         try:
-            version, mesh = decode_configuration(row.content())
+            version, mesh = self._reader.decode(row.content())
         except (ConfigurationError, ValueError) as error:
             self._log.emit(
                 Event.VERSION_REFUSED,
--- a/src/ragwortstand/versions.py
+++ b/src/ragwortstand/versions.py
@@ -4,20 +4,23 @@
 from collections import OrderedDict
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
+from typing import TypeAlias
 
 from ragwortstand.exceptions import ConfigurationError
 from ragwortstand.ids import NO_VERSION, Digest, Version
 from ragwortstand.models import (
     Configuration,
+    ConfigurationReader,
     Rank,
     Route,
     Service,
-    decode,
     digest_of,
 )
 
 _KEPT_CONTENTS = 4
 _ANY_METHOD = '*'
+# Host, path and method.
+_RouteKey: TypeAlias = tuple[str, str, str]
 
 
 class Offer(enum.Enum):
@@ -66,6 +69,7 @@
     :param version: version of the configuration.
     :param mesh: the checked configuration.
     :param content: its canonical JSON in UTF-8.
+    :param digest: digest of the content, where it has been computed.
     """
 
     def __init__(
@@ -73,25 +77,22 @@
         version: Version,
         mesh: Configuration,
         content: bytes,
+        digest: Digest | None = None,
     ) -> None:
-        """Compile the routes."""
+        """Index the routes."""
         self.version = version
         self.mesh = mesh
         self.content = content
-        self.digest = digest_of(content)
-        ranks = {rank.name: rank for rank in mesh.ranks}
-        services = {service.name: service for service in mesh.services}
-        self.services = services
-        self._ranks = ranks
-        self._routes: dict[tuple[str, str, str], Match] = {}
+        self.digest = digest or digest_of(content)
+        self.services = {service.name: service for service in mesh.services}
+        self._ranks = {rank.name: rank for rank in mesh.ranks}
+        self._routes: dict[_RouteKey, Route] = {}
+        # Few of the routes get requests before the next version.
+        self._matches: dict[_RouteKey, Match] = {}
         for route in mesh.routes:
-            parts = tuple(
-                Part(services[part.service], part.weight)
-                for part in route.parts
-            )
-            match = Match(route, ranks[route.rank], parts)
+            path = _key(route)
             for method in route.methods or (_ANY_METHOD,):
-                self._routes[route.host, _key(route), method] = match
+                self._routes[route.host, path, method] = route
 
     def rank(self, name: str) -> Rank | None:
         """Return the rank of that name."""
@@ -112,12 +113,22 @@
 
     def _longest(self, method: str, path: str, host: str) -> Match | None:
         for prefix in _prefixes(path):
-            found = self._routes.get((host, prefix, method))
-            found = found or self._routes.get((host, prefix, _ANY_METHOD))
-            if found:
-                return found
+            for wanted in (method, _ANY_METHOD):
+                key = (host, prefix, wanted)
+                if key in self._routes:
+                    return self._matches.get(key) or self._compile(key)
         return None
 
+    def _compile(self, key: _RouteKey) -> Match:
+        route = self._routes[key]
+        parts = tuple(
+            Part(self.services[part.service], part.weight)
+            for part in route.parts
+        )
+        match = Match(route, self._ranks[route.rank], parts)
+        self._matches[key] = match
+        return match
+
 
 def _key(route: Route) -> str:
     """Return the path of a route; a slash at its end marks `below_only`."""
@@ -150,6 +161,7 @@
         """Start without a configuration."""
         self.snapshot: Snapshot | None = None
         self._listeners: list[Callable[[Snapshot], None]] = []
+        self._reader = ConfigurationReader()
         self._contents: OrderedDict[Version, bytes] = OrderedDict()
 
     @property
@@ -178,10 +190,10 @@
         if digest_of(content) != digest:
             return Offer.WRONG_DIGEST
         try:
-            mesh = decode(content)
+            mesh = self._reader.decode(content)
         except ConfigurationError:
             return Offer.INVALID
-        self._apply(Snapshot(version, mesh, content))
+        self._apply(Snapshot(version, mesh, content, digest))
         return Offer.APPLIED
 
     def _apply(self, snapshot: Snapshot) -> None:
--- a/tests/test_models.py
+++ b/tests/test_models.py
@@ -11,6 +11,8 @@
 import ragwortstand
 from ragwortstand import authoring, models
 from ragwortstand.exceptions import ConfigurationError
+from ragwortstand.ids import Version
+from ragwortstand.versions import Snapshot
 from tests.fakes import MESH
 
 _PARTS = (
@@ -134,3 +136,55 @@
         self.assertIn('$.routes[0].rank', problem)
         operators = ragwortstand.check(content)
         self.assertEqual(problem, '\n'.join(map(str, operators)))
+
+
+class ConfigurationReaderTests(unittest.TestCase):
+    """Versions that are decoded one after the other."""
+
+    def setUp(self) -> None:
+        """Decode a first version."""
+        self.reader = models.ConfigurationReader()
+        self.first = self.reader.decode(MESH.to_json().encode())
+
+    def _decoded(self, mesh: models.Configuration) -> models.Configuration:
+        """Return a configuration that equals what was encoded."""
+        found = self.reader.decode(mesh.to_json().encode())
+        self.assertEqual(found, mesh)
+        return found
+
+    def test_unchanged_routes_are_used_again(self) -> None:
+        changed = msgspec.structs.replace(
+            self.first.routes[1], deadline_s=1.0, max_attempts=2
+        )
+        mesh = msgspec.structs.replace(
+            self.first, routes=(changed, self.first.routes[0])
+        )
+        found = self._decoded(mesh)
+        self.assertIs(found.routes[1], self.first.routes[0])
+        self.assertEqual(found.routes[0].deadline_s, 1)
+
+    def test_unchanged_route_whose_names_are_gone(self) -> None:
+        for part in ('services', 'ranks'):
+            left = {part: getattr(self.first, part)[1:]}
+            mesh = msgspec.structs.replace(self.first, **left)
+            with self.subTest(part), self.assertRaises(ConfigurationError):
+                self.reader.decode(mesh.to_json().encode())
+        self._decoded(self.first)
+
+    def test_the_place_in_the_whole_document_is_named(self) -> None:
+        text = self.first.to_json().replace('"/slips"', '"slips"')
+        with self.assertRaises(ConfigurationError) as caught:
+            self.reader.decode(text.encode())
+        self.assertRegex(str(caught.exception), r'\$\.routes\[0\]\.path')
+        self._decoded(self.first)
+
+    def test_a_new_version_brings_its_own_services(self) -> None:
+        services = tuple(
+            msgspec.structs.replace(service, max_connections=7)
+            for service in self.first.services
+        )
+        mesh = msgspec.structs.replace(self.first, services=services)
+        snapshot = Snapshot(Version(2), self._decoded(mesh), b'')
+        match = snapshot.match('GET', '/slips')
+        assert match
+        self.assertEqual(match.service.max_connections, 7)
--- a/tests/test_platform_configuration.py
+++ b/tests/test_platform_configuration.py
@@ -10,7 +10,10 @@
 import ragwortstand
 from ragwortstand.exceptions import ConfigurationError
 from ragwortstand.models import Configuration, decode
-from ragwortstand.platform.configuration import decode_configuration
+from ragwortstand.platform.configuration import (
+    RowReader,
+    decode_configuration,
+)
 from ragwortstand.versions import Snapshot
 
 _ROW: dict[str, Any] = {
@@ -147,6 +150,55 @@
             self.assertEqual(found, expected, (path, host))
 
 
+class RowReaderTests(unittest.TestCase):
+    """Versions that are read one after the other."""
+
+    def setUp(self) -> None:
+        """Read a first version."""
+        self.reader = RowReader()
+        self.reader.decode(row_of(7))
+
+    def _read(self, row: dict[str, Any]) -> Configuration:
+        """Return a configuration, which is the same without the former."""
+        content = msgspec.json.encode(row)
+        version, mesh = self.reader.decode(content)
+        self.assertEqual((version, mesh), decode_configuration(content))
+        return mesh
+
+    def test_changed_added_removed_and_reordered_routes(self) -> None:
+        row = copy.deepcopy(_ROW)
+        rows = row['routes']['rows']
+        rows[0][4] = 700
+        self.assertEqual(self._read(row).routes[0].deadline_s, 0.7)
+        rows.append(['r-3', 'a.example', '/', *rows[1][3:]])
+        self.assertEqual(len(self._read(row).routes), 3)
+        rows.reverse()
+        self.assertEqual(self._read(row).routes[0].path, '/')
+        rows.pop()
+        self.assertEqual(len(self._read(row).ranks), 1)
+
+    def test_other_order_of_columns(self) -> None:
+        row = copy.deepcopy(_ROW)
+        columns = row['routes']['columns']
+        row['routes']['columns'] = ['host', 'name', *columns[2:]]
+        self.assertEqual(self._read(row).routes[0].host, 'r-1')
+
+    def test_unchanged_route_whose_service_is_gone(self) -> None:
+        row = copy.deepcopy(_ROW)
+        row['services']['rows'].pop()
+        with self.assertRaises(ConfigurationError):
+            self.reader.decode(msgspec.json.encode(row))
+        self._read(_ROW)
+
+    def test_after_a_row_that_was_refused(self) -> None:
+        row = copy.deepcopy(_ROW)
+        row['routes']['rows'][1][3] = 'sometimes'
+        for _ in range(2):
+            with self.assertRaises(ConfigurationError):
+                self.reader.decode(msgspec.json.encode(row))
+        self._read(_ROW)
+
+
 class RefusalTests(unittest.TestCase):
     """Rows that are not whole or not sound are refused as a whole."""
 
