--- a/tests/test_platform_configuration.py
+++ b/tests/test_platform_configuration.py
@@ -1,14 +1,19 @@
 """Tests of the operator's row as a configuration."""
 
 import copy
+import json
 import unittest
 from typing import Any
 
 import msgspec
 
+import ragwortstand
 from ragwortstand.exceptions import ConfigurationError
-from ragwortstand.models import Configuration
-from ragwortstand.platform.configuration import decode_configuration
+from ragwortstand.models import Configuration, decode
+from ragwortstand.platform.configuration import (
+    RowReader,
+    decode_configuration,
+)
 from ragwortstand.versions import Snapshot
 
 _ROW: dict[str, Any] = {
@@ -120,8 +125,12 @@
 
     def test_survives_the_product_form(self) -> None:
         text = self.mesh.to_json()
-        again = Configuration.model_validate_json(text)
-        self.assertEqual(again, self.mesh)
+        self.assertEqual(decode(text.encode()), self.mesh)
+
+    def test_operators_read_the_same(self) -> None:
+        text = self.mesh.to_json()
+        again = ragwortstand.parse(text)
+        self.assertEqual(json.loads(again.to_json()), json.loads(text))
 
     def test_longest_prefix_of_the_host(self) -> None:
         snapshot = Snapshot(self.version, self.mesh, b'')
@@ -141,6 +150,55 @@
             self.assertEqual(found, expected, (path, host))
 
 
+class RowReaderTests(unittest.TestCase):
+    """Versions that are read one after the other."""
+
+    def setUp(self) -> None:
+        """Read a first version."""
+        self.reader = RowReader()
+        self.reader.decode(row_of(7))
+
+    def _read(self, row: dict[str, Any]) -> Configuration:
+        """Return a configuration, which is the same without the former."""
+        content = msgspec.json.encode(row)
+        version, mesh = self.reader.decode(content)
+        self.assertEqual((version, mesh), decode_configuration(content))
+        return mesh
+
+    def test_changed_added_removed_and_reordered_routes(self) -> None:
+        row = copy.deepcopy(_ROW)
+        rows = row['routes']['rows']
+        rows[0][4] = 700
+        self.assertEqual(self._read(row).routes[0].deadline_s, 0.7)
+        rows.append(['r-3', 'a.example', '/', *rows[1][3:]])
+        self.assertEqual(len(self._read(row).routes), 3)
+        rows.reverse()
+        self.assertEqual(self._read(row).routes[0].path, '/')
+        rows.pop()
+        self.assertEqual(len(self._read(row).ranks), 1)
+
+    def test_other_order_of_columns(self) -> None:
+        row = copy.deepcopy(_ROW)
+        columns = row['routes']['columns']
+        row['routes']['columns'] = ['host', 'name', *columns[2:]]
+        self.assertEqual(self._read(row).routes[0].host, 'r-1')
+
+    def test_unchanged_route_whose_service_is_gone(self) -> None:
+        row = copy.deepcopy(_ROW)
+        row['services']['rows'].pop()
+        with self.assertRaises(ConfigurationError):
+            self.reader.decode(msgspec.json.encode(row))
+        self._read(_ROW)
+
+    def test_after_a_row_that_was_refused(self) -> None:
+        row = copy.deepcopy(_ROW)
+        row['routes']['rows'][1][3] = 'sometimes'
+        for _ in range(2):
+            with self.assertRaises(ConfigurationError):
+                self.reader.decode(msgspec.json.encode(row))
+        self._read(_ROW)
+
+
 class RefusalTests(unittest.TestCase):
     """Rows that are not whole or not sound are refused as a whole."""
 
@@ -184,6 +242,38 @@
             with self.assertRaises(ConfigurationError):
                 _decoded(row)
 
+    def test_values_out_of_bounds(self) -> None:
+        cases = (
+            (0, 'routes', 1, 'jepu example'),
+            (0, 'routes', 2, '/le pu/'),
+            (0, 'routes', 2, '/lepu/\n'),
+            (0, 'routes', 4, 600_001),
+            (0, 'routes', 5, -1),
+            (0, 'routes', 8, 101),
+            (1, 'routes', 9, 'Kafi'),
+            (0, 'routes', 7, [{'service': 'huvo', 'weight': 1e7}]),
+            (0, 'services', 0, 'huvo\n'),
+            (0, 'services', 2, 0),
+        )
+        for number, part, position, value in cases:
+            row = self._changed()
+            row[part]['rows'][number][position] = value
+            with (
+                self.subTest(part=part, value=value),
+                self.assertRaises(ConfigurationError),
+            ):
+                _decoded(row)
+
+    def test_limits_out_of_bounds(self) -> None:
+        for name, value in (
+            ('maxHeaderBytes', 255),
+            ('maxBodyBytes', -1),
+            ('headerTimeoutMs', 0),
+            ('idleTimeoutMs', 3_600_001),
+        ):
+            with self.subTest(name), self.assertRaises(ConfigurationError):
+                _decoded(self._changed(limits={name: value}))
+
     def test_the_same_route_twice(self) -> None:
         row = self._changed()
         row['routes']['rows'].append(row['routes']['rows'][0])
