Fetch lists of members from strangers, and from a group that stays apart

Cause: a probe named its sender without an address, so a daemon that did not know the sender could neither ask it for its list nor probe it; and the 8 s after which a list that differs is fetched began again with each probe that agreed, so that two groups could each agree among themselves for ever.

Change: a probe carries its sender's entry. A receiver that did not know the sender fetches its list at once if the lists differ, at most three lists in an interval; before, each newcomer's list was fetched, without a bound. A digest that stays as it is beside an own one that stays as it is for 8 s makes its list fetched, whoever else agrees; short differences by news on its way don't. Timing by peer was ruled out: in a large fleet a pair rarely meets twice.

Tests: tests.test_gossip_lists, 8 tests; the four that run gossip (two daemons that know only each other, two groups, a newcomer, the bound of 3, which was 50) failed with the former gossip.py.

--- a/src/ragwortstand/peers/gossip.py
+++ b/src/ragwortstand/peers/gossip.py
@@ -16,6 +16,7 @@
 
 from ragwortstand.exceptions import PeerError
 from ragwortstand.ids import HostId, PeerAddress, Version, ZoneName
+from ragwortstand.peers.differences import ListDifferences
 from ragwortstand.peers.homes import Homes
 from ragwortstand.peers.members import Members
 from ragwortstand.peers.messages import (
@@ -37,6 +38,8 @@
 _PAUSE_FACTOR = 3.0
 _JOIN_TIMEOUT_S = 2.0
 _LOST_BEFORE_ZONE = 3
+# Lists fetched from strangers within one interval.
+_MAX_STRANGERS = 3
 
 VersionListener = Callable[[Version, PeerAddress], None]
 
@@ -73,13 +76,14 @@
         self._rng = rng
         self._round: list[HostId] = []
         self._tasks: TaskGroup | None = None
-        self._agreed_at_s = 0.0
+        self._differences = ListDifferences(settings)
+        self._strangers_left = _MAX_STRANGERS
         self._unseen: dict[ZoneName, set[HostId]] = {}
 
     async def run(self) -> None:
         """Probe until cancelled."""
         interval_s = self._settings.probe_interval_s
-        self._agreed_at_s = anyio.current_time()
+        self._differences.restart(anyio.current_time())
         async with anyio.create_task_group() as probes:
             self._tasks = probes
             before_s = anyio.current_time()
@@ -90,6 +94,7 @@
                 if now_s - before_s > interval_s * _PAUSE_FACTOR:
                     self._members.postpone(now_s)
                 before_s = now_s
+                self._strangers_left = _MAX_STRANGERS
                 if self._members.expire(now_s):
                     probes.start_soon(self.spread)
                 for target in self.targets():
@@ -159,13 +164,13 @@
         is_stranger = self._members.get(sender) is None
         self._members.merge(ping.news, now_s)
         member = self._members.get(sender)
-        if member and is_stranger and self._tasks:
-            self._tasks.start_soon(self.join, member.peer_address)
         if member:
             self._members.vouch(sender, now_s)
             self._homes.note_report(ping.outage_age_s, now_s)
             self._on_version(ping.version, member.peer_address)
-        if member:
+        if member and is_stranger:
+            self._meet(ping.members_digest, member.peer_address)
+        elif member:
             self._compare(ping.members_digest, member.peer_address)
         return Pong(
             self._version_in_force(),
@@ -186,22 +191,29 @@
         self._members.merge([request.member], anyio.current_time())
         return MemberList(self._members.all(), self._version_in_force())
 
+    def _meet(self, digest: int, address: PeerAddress) -> None:
+        """Fetch the list of a daemon that was not known, unless it is alike.
+
+        A daemon that restarted may know few others or none.
+
+        :param digest: digest of the daemon's list.
+        :param address: where the daemon listens.
+        """
+        is_alike = digest == self._members.digest
+        if self._tasks and self._strangers_left and not is_alike:
+            self._strangers_left -= 1
+            self._tasks.start_soon(self.join, address)
+
     def _compare(self, digest: int, address: PeerAddress) -> None:
         """Fetch a whole list when lists have differed for a while.
 
-        News is told a bounded number of times, so a list can miss some.
-
         :param digest: digest of a peer's list.
         :param address: where the peer listens.
         """
         now_s = anyio.current_time()
-        if digest == self._members.digest:
-            self._agreed_at_s = now_s
-        elif (
-            now_s - self._agreed_at_s > self._settings.difference_s
-            and self._tasks
-        ):
-            self._agreed_at_s = now_s
+        own = self._members.digest
+        is_lasting = self._differences.is_lasting(own, digest, now_s)
+        if is_lasting and self._tasks:
             self._tasks.start_soon(self.join, address)
 
     def _outage_age_s(self) -> float | None:
@@ -243,7 +255,7 @@
         news: tuple[Member, ...] | None = None,
     ) -> bool:
         if news is None:
-            news = self._news_for(target.host)
+            news = self._introduced(self._news_for(target.host))
         ping = Ping(
             self._version_in_force(),
             self._outage_age_s(),
@@ -307,6 +319,11 @@
             return (*news, self._members.own)
         return (*news, member, self._members.own)
 
+    def _introduced(self, news: tuple[Member, ...]) -> tuple[Member, ...]:
+        """Return news with this daemon's address, which a probe lacks."""
+        own = self._members.own
+        return news if own in news else (*news, own)
+
     def _next_of(self, group: list[Member]) -> Member | None:
         """Return members in rounds, each round in a new random order."""
         by_host = {member.host: member for member in group}
--- /dev/null
+++ b/tests/test_gossip_lists.py
@@ -0,0 +1,203 @@
+"""Tests of how lists of members that differ become alike."""
+
+import random
+import unittest
+from collections.abc import Iterable
+
+import anyio
+
+from ragwortstand.exceptions import PeerError
+from ragwortstand.ids import NO_VERSION, HostId, PeerAddress
+from ragwortstand.peers.differences import ListDifferences
+from ragwortstand.peers.gossip import Gossip
+from ragwortstand.peers.homes import Homes
+from ragwortstand.peers.members import Members
+from ragwortstand.peers.messages import (
+    Join,
+    Member,
+    MemberState,
+    Ping,
+    Reply,
+    Request,
+)
+from ragwortstand.settings import MembershipSettings
+from ragwortstand.verdicts import Verdict
+from tests.fakes import member
+
+_INTERVAL_S = 0.02
+_NEVER_S = 60.0
+_OLD = 1
+_NEW = 2
+
+
+class _Daemons:
+    """Daemons that reach each other without a network."""
+
+    def __init__(
+        self, difference_s: float, interval_s: float = _INTERVAL_S
+    ) -> None:
+        self.lists: dict[HostId, Members] = {}
+        self.joins = 0
+        self._settings = MembershipSettings(
+            probe_interval_s=interval_s, difference_s=difference_s
+        )
+        self._gossips: dict[PeerAddress, Gossip] = {}
+
+    def start(self, own: Member, known: Iterable[Member]) -> None:
+        """Add a daemon that has told all its news."""
+        members = Members(own, self._settings, 0)
+        members.merge(known, 0)
+        for one in members.all():
+            members.drop_news(one.host)
+        self.lists[own.host] = members
+        self._gossips[own.peer_address] = Gossip(
+            members,
+            _Links(self, own.host),
+            self._settings,
+            Homes(members, window_s=600),
+            lambda: NO_VERSION,
+            _no_version,
+            random.Random(len(self.lists)),
+        )
+
+    async def run(self, seconds: float) -> None:
+        """Let all daemons probe each other for a time."""
+        with anyio.move_on_after(seconds):
+            async with anyio.create_task_group() as tasks:
+                for gossip in self._gossips.values():
+                    tasks.start_soon(gossip.run)
+
+    async def ask(
+        self, sender: HostId, address: PeerAddress, request: Request
+    ) -> Reply:
+        """Let the daemon at an address answer."""
+        await anyio.lowlevel.checkpoint()
+        gossip = self._gossips.get(address)
+        if isinstance(request, Join) and gossip:
+            self.joins += 1
+            return gossip.on_join(request)
+        if isinstance(request, Ping) and gossip:
+            return gossip.on_ping(sender, request)
+        raise PeerError(Verdict.NOT_RUN, 'lost')
+
+
+class _Links:
+    def __init__(self, daemons: _Daemons, own: HostId) -> None:
+        self._daemons = daemons
+        self._own = own
+
+    async def ask(
+        self,
+        address: PeerAddress,
+        request: Request,
+        timeout_s: float,
+    ) -> Reply:
+        with anyio.fail_after(timeout_s):
+            return await self._daemons.ask(self._own, address, request)
+
+    def forget(self, address: PeerAddress) -> None:
+        """Do nothing."""
+
+
+def _no_version(version: object, address: object) -> None:
+    """Take no version."""
+
+
+class ListsTest(unittest.IsolatedAsyncioTestCase):
+    """Lists that differ although nobody has news left to tell."""
+
+    async def test_restarted_daemons_meet_the_fleet_at_once(self) -> None:
+        """Two that know only each other are found by the others' probes."""
+        daemons = _Daemons(_NEVER_S)
+        returned = [member(f'h{one}', incarnation=_NEW) for one in range(2)]
+        gone = [member(f'h{one}', incarnation=_OLD) for one in range(2)]
+        others = [member(f'h{one}') for one in range(2, 6)]
+        for own in returned:
+            daemons.start(own, returned)
+        for own in others:
+            daemons.start(own, [*gone, *others])
+        await daemons.run(40 * _INTERVAL_S)
+        digests = {one.digest for one in daemons.lists.values()}
+        self.assertEqual(len(digests), 1)
+        for members in daemons.lists.values():
+            self.assertEqual(len(members.usable()), 6)
+
+    async def test_two_groups_become_one(self) -> None:
+        """Agreement within a group does not hide the other group."""
+        daemons = _Daemons(10 * _INTERVAL_S)
+        fleet = [member(f'h{one}') for one in range(8)]
+        gone = member('gone')
+        left = member('gone', state=MemberState.LEFT)
+        for number, own in enumerate(fleet):
+            daemons.start(own, [*fleet, left if number % 2 else gone])
+        await daemons.run(60 * _INTERVAL_S)
+        for members in daemons.lists.values():
+            self.assertEqual(members.get(left.host), left)
+
+    async def test_a_newcomer_with_the_whole_list_is_not_asked(self) -> None:
+        """A fleet that grows does not fetch lists that it has."""
+        daemons = _Daemons(_NEVER_S)
+        fleet = [member(f'h{one}') for one in range(6)]
+        newcomer = member('new')
+        for own in fleet:
+            daemons.start(own, fleet)
+        daemons.start(newcomer, fleet)
+        await daemons.run(40 * _INTERVAL_S)
+        for members in daemons.lists.values():
+            self.assertIsNotNone(members.get(HostId('new')))
+        self.assertEqual(daemons.joins, 0)
+
+    async def test_strangers_of_one_interval_are_bounded(self) -> None:
+        """Many that return at once do not make a daemon fetch many lists."""
+        daemons = _Daemons(_NEVER_S, interval_s=10)
+        own = member('own')
+        daemons.start(own, [])
+        strangers = [member(f'h{one}') for one in range(50)]
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(daemons.run, 0.2)
+            await anyio.sleep(0.05)
+            for stranger in strangers:
+                daemons.start(stranger, [])
+                ping = Ping(NO_VERSION, None, 1, (stranger,))
+                await daemons.ask(stranger.host, own.peer_address, ping)
+        self.assertEqual(len(daemons.lists[own.host].usable()), 51)
+        self.assertEqual(daemons.joins, 3)
+
+
+class ListDifferencesTest(unittest.TestCase):
+    """Which differences are worth a whole list."""
+
+    def setUp(self) -> None:
+        """Lists may differ for 8 s."""
+        self.differences = ListDifferences(MembershipSettings(difference_s=8))
+        self.differences.restart(0)
+
+    def test_agreement_with_another_peer_restarts_nothing(self) -> None:
+        """A peer that differs for long is found beside many that agree."""
+        asked = self.differences.is_lasting
+        found = []
+        for now_s in range(10):
+            self.assertFalse(asked(1, 1, now_s))
+            found.append(asked(1, 2, now_s + 0.5))
+        self.assertEqual(found, [*(False,) * 9, True])
+
+    def test_a_fetch_gives_the_difference_its_time_again(self) -> None:
+        """A peer that can't be agreed with is asked once in that time."""
+        asked = self.differences.is_lasting
+        found = [now_s for now_s in range(30) if asked(1, 2, now_s)]
+        self.assertEqual(found, [9, 18, 27])
+
+    def test_news_on_its_way_is_no_lasting_difference(self) -> None:
+        """Short differences by new news each time cause no fetch."""
+        asked = self.differences.is_lasting
+        for now_s in range(100):
+            self.assertFalse(asked(now_s, now_s + 1, now_s))
+            self.assertFalse(asked(now_s, now_s, now_s + 0.5))
+
+    def test_no_agreement_at_all(self) -> None:
+        """A list that misses much is fetched although all lists change."""
+        asked = self.differences.is_lasting
+        found = [
+            now_s for now_s in range(30) if asked(now_s, 100 + now_s, now_s)
+        ]
+        self.assertEqual(found, [9, 18, 27])
