Refuse only the rank that floods while a daemon is late

Cause: a late daemon compared each rank with its part of the admissions. As the flooding rank is refused, the admissions shrink and the part of every other rank in them rises above its guarantee, so that those are refused too.

Change: requests are counted as well as admissions, and a rank is refused only when it has more than its part of both. Ruled out: admission to slots.

--- a/src/ragwortstand/callers/overload.py
+++ b/src/ragwortstand/callers/overload.py
@@ -19,14 +19,16 @@
 class OverloadGuard:
     """Admits requests by rank while the event loop is late.
 
-    The admissions of about the last second are counted by rank. While the
-    loop is late, a rank that had more than its guaranteed part of them is
-    refused.
+    The requests and admissions of about the last second are counted by rank.
+    While the loop is late, a rank is refused that has more than its guaranteed
+    part of both. Admissions alone would not do: as the flooding rank is
+    refused, the parts of all others rise.
     """
 
     def __init__(self) -> None:
         """Start on time."""
         self._parts: dict[str, float] = {}
+        self._asked: dict[str, float] = {}
         self._admitted: dict[str, float] = {}
         self.delay_s = 0.0
 
@@ -44,12 +46,10 @@
 
         :param rank: name of its rank.
         """
-        admitted = self._admitted.get(rank, 0)
-        if self.delay_s > _LATE_S:
-            total = sum(self._admitted.values())
-            if admitted > self._parts.get(rank, 0) * total:
-                return False
-        self._admitted[rank] = admitted + 1
+        self._asked[rank] = self._asked.get(rank, 0) + 1
+        if self.delay_s > _LATE_S and self._is_flooding(rank):
+            return False
+        self._admitted[rank] = self._admitted.get(rank, 0) + 1
         return True
 
     def tick(self, delay_s: float) -> None:
@@ -58,8 +58,9 @@
         :param delay_s: how late the tick came.
         """
         self.delay_s = delay_s
-        for rank in self._admitted:
-            self._admitted[rank] *= _DECAY_PER_TICK
+        for counts in (self._asked, self._admitted):
+            for rank in counts:
+                counts[rank] *= _DECAY_PER_TICK
 
     async def watch(self) -> None:
         """Measure the delay of the event loop until cancelled."""
@@ -70,3 +71,10 @@
             now_s = anyio.current_time()
             self.tick(now_s - due_s)
             due_s = now_s
+
+    def _is_flooding(self, rank: str) -> bool:
+        part = self._parts.get(rank, 0)
+        return all(
+            counts.get(rank, 0) > part * sum(counts.values())
+            for counts in (self._asked, self._admitted)
+        )
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -12,6 +12,7 @@
 from ragwortstand.calls import Call
 from ragwortstand.ids import RequestId, Version
 from ragwortstand.metrics import Metrics
+from ragwortstand.models import Rank
 from ragwortstand.settings import LimitSettings
 from ragwortstand.verdicts import (
     Answered,
@@ -230,6 +231,25 @@
             self.assertFalse(guard.admits(flooding))
             self.assertTrue(guard.admits(other))
 
+    def test_ranks_that_do_not_flood_are_never_refused(self) -> None:
+        """A flood that is refused for long does not turn on other ranks."""
+        guard = OverloadGuard()
+        shares = {'urgent': 0.4, 'middle': 0.3, 'bulk': 0.2}
+        guard.configure(
+            Rank(name=name, guaranteed_share=share)
+            for name, share in shares.items()
+        )
+        rates = {'bulk': 54, 'middle': 6, 'urgent': 10}
+        refused = dict.fromkeys(rates, 0)
+        for _ in range(40):
+            guard.tick(0.2)
+            for rank, rate in rates.items():
+                refused[rank] += sum(
+                    not guard.admits(rank) for _ in range(rate)
+                )
+        self.assertGreater(refused.pop('bulk'), 0)
+        self.assertEqual(refused, {'middle': 0, 'urgent': 0})
+
     def test_recovers_within_a_second(self) -> None:
         """Once on time again everything is admitted at once."""
         guard = self._guard()
