Look for dead daemons in zones and regions without a live one

Cause: only bridges between regions probed dead members, and only those of their own zone. A daemon that was alone in its zone, or whose zone died as a whole, and that started again after its death was declared, was probed by nobody; with the platform out it found nobody itself, and stayed without a version.

A dead member that does not answer no longer counts towards the loss of a zone.

Tests: two of three new ones in tests.test_gossip_lists failed before. Open: a daemon that left in order and starts again while the platform is out is still looked for by nobody.

--- a/src/ragwortstand/peers/gossip.py
+++ b/src/ragwortstand/peers/gossip.py
@@ -4,7 +4,8 @@
 members of each zone, chosen by rendezvous hashing, also probe one member of
 each other zone of their region and one dead member of their zone, which finds
 hosts that came back while the platform's table was out. Two members of each
-region probe one member of each other region. News of members rides on the
+region probe one member of each other region. Of a zone or region in which all
+have died, a dead member is probed. News of members rides on the
 probes, as in SWIM, and a digest of the list shows what news has missed.
 """
 
@@ -104,14 +105,15 @@
         """Return the members to probe in this interval."""
         own = self._members.own
         peers = self._members.peers()
+        dead = self._members.departed(MemberState.DEAD)
         groups = [[peer for peer in peers if peer.zone == own.zone]]
         if own in self._members.leaders('bridge', _BRIDGES, zone=own.zone):
             near = [peer for peer in peers if peer.region == own.region]
-            groups.extend(_grouped(near, own.zone, _zone))
-        if own in self._members.leaders('bridge', _BRIDGES, region=own.region):
-            groups.extend(_grouped(peers, own.region, _region))
-            dead = self._members.departed(MemberState.DEAD)
+            near_dead = [one for one in dead if one.region == own.region]
+            groups.extend(_grouped(near, near_dead, own.zone, _zone))
             groups.append([one for one in dead if one.zone == own.zone])
+        if own in self._members.leaders('bridge', _BRIDGES, region=own.region):
+            groups.extend(_grouped(peers, dead, own.region, _region))
         first = self._next_of(groups[0])
         others = [self._rng.choice(group) for group in groups[1:] if group]
         return [first, *others] if first else others
@@ -224,12 +226,13 @@
         if is_seen or await self._ping_indirectly(target):
             self._unseen.pop(target.zone, None)
             return
+        if target.state is MemberState.DEAD:
+            self._links.forget(target.peer_address)
+            return
         self._members.suspect(target.host, anyio.current_time())
         if target.zone != self._members.own.zone:
             self._suspect_zone(target)
-        if target.state is MemberState.DEAD:
-            self._links.forget(target.peer_address)
-        elif target.state is MemberState.ALIVE:
+        if target.state is MemberState.ALIVE:
             await self.spread()
 
     def _suspect_zone(self, target: Member) -> None:
@@ -345,12 +348,21 @@
 
 
 def _grouped(
-    members: Iterable[Member],
+    present: Iterable[Member],
+    dead: Iterable[Member],
     own: str,
     part: Callable[[Member], str],
 ) -> list[list[Member]]:
+    """Return the members of each other part, dead ones where all are."""
+    groups = _by_part(dead, part) | _by_part(present, part)
+    groups.pop(own, None)
+    return list(groups.values())
+
+
+def _by_part(
+    members: Iterable[Member], part: Callable[[Member], str]
+) -> dict[str, list[Member]]:
     groups: dict[str, list[Member]] = {}
     for member in members:
-        if part(member) != own:
-            groups.setdefault(part(member), []).append(member)
-    return list(groups.values())
+        groups.setdefault(part(member), []).append(member)
+    return groups
--- a/tests/test_gossip_lists.py
+++ b/tests/test_gossip_lists.py
@@ -122,6 +122,31 @@
         for members in daemons.lists.values():
             self.assertEqual(len(members.usable()), 6)
 
+    async def test_a_dead_daemon_alone_in_its_zone_is_found(self) -> None:
+        """One that returns on its address after its death was declared."""
+        await self._return_from_death('a9', 'a')
+
+    async def test_a_dead_daemon_alone_in_its_region_is_found(self) -> None:
+        """The other regions look for it too."""
+        await self._return_from_death('b1', 'b')
+
+    async def test_a_dead_daemon_of_a_live_zone_is_found(self) -> None:
+        """The bridges of a zone look for its own dead."""
+        await self._return_from_death('a2', 'a')
+
+    async def _return_from_death(self, zone: str, region: str) -> None:
+        daemons = _Daemons(_NEVER_S)
+        near = [member(f'h{one}', zone='a1') for one in range(4)]
+        far = [member(f'h{one}', zone='a2') for one in range(4, 8)]
+        dead = member('back', zone=zone, region=region, state=MemberState.DEAD)
+        back = member('back', zone=zone, region=region, incarnation=_NEW)
+        for own in (*near, *far):
+            daemons.start(own, [*near, *far, dead])
+        daemons.start(back, [])
+        await daemons.run(40 * _INTERVAL_S)
+        for members in daemons.lists.values():
+            self.assertEqual(len(members.usable()), 9)
+
     async def test_two_groups_become_one(self) -> None:
         """Agreement within a group does not hide the other group."""
         daemons = _Daemons(10 * _INTERVAL_S)
