--- a/src/ragwortstand/peers/gossip.py
+++ b/src/ragwortstand/peers/gossip.py
@@ -4,7 +4,8 @@
 members of each zone, chosen by rendezvous hashing, also probe one member of
 each other zone of their region and one dead member of their zone, which finds
 hosts that came back while the platform's table was out. Two members of each
-region probe one member of each other region. News of members rides on the
+region probe one member of each other region. Of a zone or region in which all
+have died, a dead member is probed. News of members rides on the
 probes, as in SWIM, and a digest of the list shows what news has missed.
 """
 
@@ -16,6 +17,7 @@
 
 from ragwortstand.exceptions import PeerError
 from ragwortstand.ids import HostId, PeerAddress, Version, ZoneName
+from ragwortstand.peers.differences import ListDifferences
 from ragwortstand.peers.homes import Homes
 from ragwortstand.peers.members import Members
 from ragwortstand.peers.messages import (
@@ -37,6 +39,8 @@
 _PAUSE_FACTOR = 3.0
 _JOIN_TIMEOUT_S = 2.0
 _LOST_BEFORE_ZONE = 3
+# Lists fetched from strangers within one interval.
+_MAX_STRANGERS = 3
 
 VersionListener = Callable[[Version, PeerAddress], None]
 
@@ -73,13 +77,14 @@
         self._rng = rng
         self._round: list[HostId] = []
         self._tasks: TaskGroup | None = None
-        self._agreed_at_s = 0.0
+        self._differences = ListDifferences(settings)
+        self._strangers_left = _MAX_STRANGERS
         self._unseen: dict[ZoneName, set[HostId]] = {}
 
     async def run(self) -> None:
         """Probe until cancelled."""
         interval_s = self._settings.probe_interval_s
-        self._agreed_at_s = anyio.current_time()
+        self._differences.restart(anyio.current_time())
         async with anyio.create_task_group() as probes:
             self._tasks = probes
             before_s = anyio.current_time()
@@ -90,6 +95,7 @@
                 if now_s - before_s > interval_s * _PAUSE_FACTOR:
                     self._members.postpone(now_s)
                 before_s = now_s
+                self._strangers_left = _MAX_STRANGERS
                 if self._members.expire(now_s):
                     probes.start_soon(self.spread)
                 for target in self.targets():
@@ -99,14 +105,15 @@
         """Return the members to probe in this interval."""
         own = self._members.own
         peers = self._members.peers()
+        dead = self._members.departed(MemberState.DEAD)
         groups = [[peer for peer in peers if peer.zone == own.zone]]
         if own in self._members.leaders('bridge', _BRIDGES, zone=own.zone):
             near = [peer for peer in peers if peer.region == own.region]
-            groups.extend(_grouped(near, own.zone, _zone))
-        if own in self._members.leaders('bridge', _BRIDGES, region=own.region):
-            groups.extend(_grouped(peers, own.region, _region))
-            dead = self._members.departed(MemberState.DEAD)
+            near_dead = [one for one in dead if one.region == own.region]
+            groups.extend(_grouped(near, near_dead, own.zone, _zone))
             groups.append([one for one in dead if one.zone == own.zone])
+        if own in self._members.leaders('bridge', _BRIDGES, region=own.region):
+            groups.extend(_grouped(peers, dead, own.region, _region))
         first = self._next_of(groups[0])
         others = [self._rng.choice(group) for group in groups[1:] if group]
         return [first, *others] if first else others
@@ -159,13 +166,13 @@
         is_stranger = self._members.get(sender) is None
         self._members.merge(ping.news, now_s)
         member = self._members.get(sender)
-        if member and is_stranger and self._tasks:
-            self._tasks.start_soon(self.join, member.peer_address)
         if member:
             self._members.vouch(sender, now_s)
             self._homes.note_report(ping.outage_age_s, now_s)
             self._on_version(ping.version, member.peer_address)
-        if member:
+        if member and is_stranger:
+            self._meet(ping.members_digest, member.peer_address)
+        elif member:
             self._compare(ping.members_digest, member.peer_address)
         return Pong(
             self._version_in_force(),
@@ -186,22 +193,29 @@
         self._members.merge([request.member], anyio.current_time())
         return MemberList(self._members.all(), self._version_in_force())
 
+    def _meet(self, digest: int, address: PeerAddress) -> None:
+        """Fetch the list of a daemon that was not known, unless it is alike.
+
+        A daemon that restarted may know few others or none.
+
+        :param digest: digest of the daemon's list.
+        :param address: where the daemon listens.
+        """
+        is_alike = digest == self._members.digest
+        if self._tasks and self._strangers_left and not is_alike:
+            self._strangers_left -= 1
+            self._tasks.start_soon(self.join, address)
+
     def _compare(self, digest: int, address: PeerAddress) -> None:
         """Fetch a whole list when lists have differed for a while.
 
-        News is told a bounded number of times, so a list can miss some.
-
         :param digest: digest of a peer's list.
         :param address: where the peer listens.
         """
         now_s = anyio.current_time()
-        if digest == self._members.digest:
-            self._agreed_at_s = now_s
-        elif (
-            now_s - self._agreed_at_s > self._settings.difference_s
-            and self._tasks
-        ):
-            self._agreed_at_s = now_s
+        own = self._members.digest
+        is_lasting = self._differences.is_lasting(own, digest, now_s)
+        if is_lasting and self._tasks:
             self._tasks.start_soon(self.join, address)
 
     def _outage_age_s(self) -> float | None:
@@ -212,12 +226,13 @@
         if is_seen or await self._ping_indirectly(target):
             self._unseen.pop(target.zone, None)
             return
+        if target.state is MemberState.DEAD:
+            self._links.forget(target.peer_address)
+            return
         self._members.suspect(target.host, anyio.current_time())
         if target.zone != self._members.own.zone:
             self._suspect_zone(target)
-        if target.state is MemberState.DEAD:
-            self._links.forget(target.peer_address)
-        elif target.state is MemberState.ALIVE:
+        if target.state is MemberState.ALIVE:
             await self.spread()
 
     def _suspect_zone(self, target: Member) -> None:
@@ -243,7 +258,7 @@
         news: tuple[Member, ...] | None = None,
     ) -> bool:
         if news is None:
-            news = self._news_for(target.host)
+            news = self._introduced(self._news_for(target.host))
         ping = Ping(
             self._version_in_force(),
             self._outage_age_s(),
@@ -307,6 +322,11 @@
             return (*news, self._members.own)
         return (*news, member, self._members.own)
 
+    def _introduced(self, news: tuple[Member, ...]) -> tuple[Member, ...]:
+        """Return news with this daemon's address, which a probe lacks."""
+        own = self._members.own
+        return news if own in news else (*news, own)
+
     def _next_of(self, group: list[Member]) -> Member | None:
         """Return members in rounds, each round in a new random order."""
         by_host = {member.host: member for member in group}
@@ -328,12 +348,21 @@
 
 
 def _grouped(
-    members: Iterable[Member],
+    present: Iterable[Member],
+    dead: Iterable[Member],
     own: str,
     part: Callable[[Member], str],
 ) -> list[list[Member]]:
+    """Return the members of each other part, dead ones where all are."""
+    groups = _by_part(dead, part) | _by_part(present, part)
+    groups.pop(own, None)
+    return list(groups.values())
+
+
+def _by_part(
+    members: Iterable[Member], part: Callable[[Member], str]
+) -> dict[str, list[Member]]:
     groups: dict[str, list[Member]] = {}
     for member in members:
-        if part(member) != own:
-            groups.setdefault(part(member), []).append(member)
-    return list(groups.values())
+        groups.setdefault(part(member), []).append(member)
+    return groups
