End an exchange whose bytes are no answer and have no end

Cause: only the bodies of answers had a limit. A backend server that wrote without end in a head (line ends, status line, header name or value, headers, informational answers), around a body (chunk extensions, zeros of a chunk size, trailers) or as answers to other requests was read until the request's deadline: its slot was held, and all that came was parsed and most of it kept. Each answer to another request set the size of the body back to 0.

Ruled out: a limit on the bytes between two parts of the body, as one byte of body would buy a whole limit again; counting the raw bytes alone, as answers in many small chunks are legitimate.

Change: `Reading` counts all that is read for one request. Idempotent requests may be tried elsewhere, and the choice of servers counts it as a failure.

Answers of 20,000 chunks of one byte and heads just below the limit come through.

--- a/src/ragwortstand/backend_servers/clients.py
+++ b/src/ragwortstand/backend_servers/clients.py
@@ -15,12 +15,10 @@
     WireRequest,
     end_to_end,
 )
-from ragwortstand.exceptions import (
-    AnswerTooLargeError,
-    BackendServerError,
-)
+from ragwortstand.backend_servers.reading import Reading
+from ragwortstand.exceptions import BackendServerError
 from ragwortstand.sockets import Vigilance, watch_connection
-from ragwortstand.verdicts import Answered, Header, Verdict
+from ragwortstand.verdicts import Answered, Verdict
 
 CONNECT_TIMEOUT_S = 1.0
 # Headers that tell where the body of an answer ends.
@@ -47,10 +45,7 @@
         self._max_answer_bytes = max_answer_bytes
         self._transport: asyncio.Transport | None = None
         self._answer: asyncio.Future[Answered] | None = None
-        self._headers: list[Header] = []
-        self._parts: list[bytes] = []
-        self._echo: Header | None = None
-        self._reset()
+        self._reset(None)
 
     @classmethod
     async def connect(
@@ -88,9 +83,7 @@
         """
         if self._transport is None or self._transport.is_closing():
             raise BackendServerError('connection is closed', Verdict.NOT_RUN)
-        self._reset()
-        self._is_head = request.method == 'HEAD'
-        self._echo = request.echo
+        self._reset(request)
         self._answer = asyncio.get_running_loop().create_future()
         self._transport.write(_encode(request, self._host))
         try:
@@ -113,7 +106,7 @@
 
     def eof_received(self) -> None:
         """End an answer whose body lasts until the connection ends."""
-        if self._is_until_end:
+        if self._reading.is_until_end:
             self.on_message_complete()
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -126,86 +119,99 @@
 
         Such bytes may be an answer to an earlier request.
         """
-        if self._answer is None or self._answer.done():
+        if self._is_answered:
             self.close()
             return
+        self._reading.add_bytes(len(data))
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
             self._fail(f'malformed answer: {error}')
             self.close()
+            return
+        self._check(self._reading.incoming_excess())
 
     def on_message_begin(self) -> None:
         """Start an answer; one too many ends the connection."""
-        self._headers = []
-        self._parts = []
-        self._size_bytes = 0
-        if self._answer is None or self._answer.done():
+        self._reading.begin()
+        if self._is_answered:
             self.close()
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect a header."""
-        self._headers.append((name.lower(), value))
+        self._reading.add_header(name, value)
 
     def on_headers_complete(self) -> None:
         """End the answer to HEAD, which has no body."""
-        if self._is_head:
+        reading = self._reading
+        self._check(reading.excess())
+        if reading.is_head:
             self._finish()
             self.close()
             return
-        names = {name for name, _ in self._headers}
+        names = {name for name, _ in reading.headers}
         status = self._parser.get_status_code()
         has_body = status >= 200 and status not in _WITHOUT_BODY
-        self._is_until_end = has_body and not names & _FRAMING
+        reading.is_until_end = has_body and not names & _FRAMING
+
+    def on_chunk_header(self) -> None:
+        """Count a chunk."""
+        self._reading.add_chunk()
 
     def on_body(self, body: bytes) -> None:
         """Collect a part of the body."""
-        self._size_bytes += len(body)
-        if self._size_bytes > self._max_answer_bytes:
-            if self._answer is not None and not self._answer.done():
-                self._answer.set_exception(AnswerTooLargeError())
-            self.close()
-            return
-        self._parts.append(body)
+        self._reading.add_part(body)
 
     def on_message_complete(self) -> None:
         """Deliver the answer, unless it belongs to another request."""
         if self._parser.get_status_code() < 200:
             return
-        echo = self._echo
-        if echo and echo not in self._headers:
-            self._is_doubtful = True
-            if echo[0] not in dict(self._headers):
+        reading = self._reading
+        self._check(reading.excess())
+        echo = reading.echo
+        if echo and echo not in reading.headers:
+            reading.is_doubtful = True
+            if echo[0] not in dict(reading.headers):
                 self._fail('answer does not name its request')
                 self.close()
             return
         self._finish()
 
-    def _reset(self) -> None:
+    @property
+    def _is_answered(self) -> bool:
+        return self._answer is None or self._answer.done()
+
+    def _reset(self, request: WireRequest | None) -> None:
         self._parser = httptools.HttpResponseParser(self)
-        self._headers = []
-        self._parts = []
-        self._size_bytes = 0
-        self._is_head = False
-        self._echo = None
-        self._is_until_end = False
-        self._is_doubtful = False
+        self._reading = Reading(self._max_answer_bytes)
+        if request:
+            self._reading.is_head = request.method == 'HEAD'
+            self._reading.echo = request.echo
+
+    def _check(self, excess: BackendServerError | None) -> None:
+        """End an exchange that reads more than is allowed."""
+        if excess and not self._is_answered:
+            self._end(excess)
+            self.close()
 
     def _finish(self) -> None:
+        reading = self._reading
         if self._answer is None or self._answer.done():
             return
         answered = Answered(
             self._parser.get_status_code(),
-            end_to_end(tuple(self._headers)),
-            b''.join(self._parts),
+            end_to_end(tuple(reading.headers)),
+            b''.join(reading.parts),
         )
         self._answer.set_result(answered)
-        if self._is_doubtful or not self._parser.should_keep_alive():
+        if reading.is_doubtful or not self._parser.should_keep_alive():
             self.close()
 
     def _fail(self, problem: str) -> None:
+        self._end(BackendServerError(problem, Verdict.MAY_HAVE_RUN))
+
+    def _end(self, error: BackendServerError) -> None:
         if self._answer is not None and not self._answer.done():
-            error = BackendServerError(problem, Verdict.MAY_HAVE_RUN)
             self._answer.set_exception(error)
 
 
--- a/src/ragwortstand/backend_servers/exchanges.py
+++ b/src/ragwortstand/backend_servers/exchanges.py
@@ -16,7 +16,11 @@
 from ragwortstand.backend_servers.crash_watch import CrashWatch, Flights
 from ragwortstand.backend_servers.dialect import BackendDialect
 from ragwortstand.calls import Call
-from ragwortstand.exceptions import AnswerTooLargeError, BackendServerError
+from ragwortstand.exceptions import (
+    AnswerTooLargeError,
+    BackendServerError,
+    EndlessAnswerError,
+)
 from ragwortstand.settings import BackendServerSettings
 from ragwortstand.verdicts import (
     Cause,
@@ -112,6 +116,8 @@
                 )
             except AnswerTooLargeError:
                 return Unknown(Cause.ANSWER_TOO_LARGE)
+            except EndlessAnswerError:
+                return Unknown(Cause.ENDLESS_ANSWER)
             except BackendServerError as error:
                 return await self._after_error(call, flights, error)
         if self._crashes.is_suspect(call, clock.now_s()):
--- a/src/ragwortstand/callers/answers.py
+++ b/src/ragwortstand/callers/answers.py
@@ -25,6 +25,7 @@
         Cause.PEER_UNREACHABLE: 502,
         Cause.CRASHED: 502,
         Cause.ANSWER_TOO_LARGE: 502,
+        Cause.ENDLESS_ANSWER: 502,
         Cause.QUARANTINED: 422,
         Cause.ALREADY_CLAIMED: 409,
         Cause.INTERNAL: 500,
--- a/src/ragwortstand/exceptions.py
+++ b/src/ragwortstand/exceptions.py
@@ -94,6 +94,15 @@
         super().__init__(problem, Verdict.MAY_HAVE_RUN)
 
 
+class EndlessAnswerError(BackendServerError):
+    """What came instead of an answer, or around it, exceeds the limit."""
+
+    def __init__(self) -> None:
+        """Leave open what the request did."""
+        problem = 'bytes without an answer exceed the limit'
+        super().__init__(problem, Verdict.MAY_HAVE_RUN)
+
+
 class RequestTooLargeError(RagwortstandError):
     """The body of a request exceeds the limit of the settings."""
 
--- a/src/ragwortstand/peers/choice.py
+++ b/src/ragwortstand/peers/choice.py
@@ -26,6 +26,7 @@
         Cause.BACKEND_SERVER_DOWN,
         Cause.CONNECTION_LOST,
         Cause.CRASHED,
+        Cause.ENDLESS_ANSWER,
         Cause.LEAVING,
         Cause.NO_BACKEND_SERVER,
         Cause.PEER_UNREACHABLE,
--- a/src/ragwortstand/peers/goal_choice.py
+++ b/src/ragwortstand/peers/goal_choice.py
@@ -54,7 +54,14 @@
         Cause.PEER_UNREACHABLE,
     ),
 )
-_FAILED = frozenset((Cause.REJECTED, Cause.CONNECTION_LOST, Cause.DEADLINE))
+_FAILED = frozenset(
+    (
+        Cause.REJECTED,
+        Cause.CONNECTION_LOST,
+        Cause.DEADLINE,
+        Cause.ENDLESS_ANSWER,
+    ),
+)
 
 
 @dataclass(slots=True)
--- a/src/ragwortstand/verdicts.py
+++ b/src/ragwortstand/verdicts.py
@@ -44,6 +44,7 @@
     INTERNAL = 'internal-error'
     REJECTED = 'rejected'
     WRONG_ANSWER = 'wrong-answer'
+    ENDLESS_ANSWER = 'endless-answer'
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -92,6 +92,13 @@
         _tell(choice, 'near', Refused(Cause.PEER_UNREACHABLE), now_s=0.6)
         self.assertEqual(_pick(choice, _MEMBERS, now_s=1.5), 'zone')
 
+    def test_host_that_sends_no_answers_is_blocked(self) -> None:
+        """Bytes without end block a backend server as a lost one."""
+        choice = _choice()
+        _tell(choice, 'near', Unknown(Cause.ENDLESS_ANSWER))
+        self.assertEqual(_pick(choice, _MEMBERS, now_s=0.4), 'zone')
+        self.assertEqual(_pick(choice, _MEMBERS, now_s=0.6), 'near')
+
     def test_bulk_work_stays_in_the_region(self) -> None:
         """Ranks without permission never cross a link between regions."""
         choice = _choice()
--- /dev/null
+++ b/tests/test_endless_answers.py
@@ -0,0 +1,428 @@
+"""Tests of bytes without end where an answer is due, over loopback."""
+
+import random
+import unittest
+from collections.abc import Collection, Sequence
+from types import MappingProxyType
+from typing import cast
+
+import anyio
+import msgspec
+
+from ragwortstand import clock
+from ragwortstand.backend_servers import Announcement, BackendServer
+from ragwortstand.backend_servers.connections import Endpoint, WireRequest
+from ragwortstand.backend_servers.dialect import RagwortDialect
+from ragwortstand.backend_servers.reading import MAX_HEAD_BYTES
+from ragwortstand.callers.answers import render
+from ragwortstand.callers.dispatch import Dispatcher
+from ragwortstand.calls import Call
+from ragwortstand.events import Event
+from ragwortstand.ids import HostId, RequestId, ServiceName, Version
+from ragwortstand.metrics import Metrics
+from ragwortstand.models import Rank, Service
+from ragwortstand.peers.forwarding import Attempt
+from ragwortstand.peers.homes import Homes
+from ragwortstand.peers.members import Members
+from ragwortstand.peers.messages import Member
+from ragwortstand.peers.retries import (
+    BudgetedRetries,
+    NaiveRetries,
+    RetryPolicy,
+)
+from ragwortstand.peers.shared_budget import RetryTerms, SharedBudgetRetries
+from ragwortstand.platform.headers import PlatformCallers
+from ragwortstand.settings import parse_settings
+from ragwortstand.verdicts import Answered, Cause, Outcome, Unknown
+from tests.fakes import ListLog, member
+from tests.floods import Flood, flooding
+from tests.servers import answering, running_server
+
+_MEBIBYTE = 1024 * 1024
+# What may be written before the connection is closed: the limits, one read,
+# and the buffers of both sockets.
+_CLOSED_WITHIN_BYTES = 8 * _MEBIBYTE
+_OK = b'HTTP/1.1 200 OK\r\n'
+_ECHO = b'x-request: '
+_CHUNKED = _OK + b'transfer-encoding: chunked\r\n\r\n'
+_LONG = b'x' * 65_536
+_EARLY = b'HTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\n' * 1000
+_OTHER = _OK + _ECHO + b'other\r\ncontent-length: 1\r\n\r\nb'
+_EMPTY = _OK + _ECHO + b'other\r\ncontent-length: 0\r\n\r\n'
+_HEADS = MappingProxyType(
+    {
+        'nothing but line ends': (b'', b'\r\n' * 30_000),
+        'status line': (b'HTTP/1.1 200 ', _LONG),
+        'header name': (_OK, _LONG),
+        'header value': (b'%bx-a: ' % _OK, _LONG),
+        'headers': (_OK, b'x-a: b\r\n' * 8000),
+        'long headers': (_OK, b'x-a: %b\r\n' % _LONG),
+        'informational answers': (b'', _EARLY),
+    },
+)
+_FRAMING = MappingProxyType(
+    {
+        'chunk extension': (_CHUNKED + b'1;', _LONG),
+        'chunk extensions': (_CHUNKED, b'1;a=%b\r\nx\r\n' % _LONG),
+        'zeros of a chunk size': (_CHUNKED, b'0' * 65_536),
+        'trailers': (_CHUNKED + b'0\r\n', b'x-a: b\r\n' * 8000),
+        'trailer value': (_CHUNKED + b'0\r\nx-a: ', _LONG),
+    },
+)
+_OTHERS = MappingProxyType(
+    {
+        'other answers': (b'', _OTHER * 1000),
+        'other answers without a body': (b'', _EMPTY * 1000),
+    },
+)
+_BODIES = MappingProxyType(
+    {
+        'announced': (_OK + b'content-length: 99999999999\r\n\r\n', _LONG),
+        'until the end': (_OK + b'\r\n', _LONG),
+        'chunks': (_CHUNKED, b'10000\r\n%b\r\n' % _LONG),
+        'one chunk': (_CHUNKED + b'ffffffff\r\n', _LONG),
+    },
+)
+
+
+class _Dialect(RagwortDialect):
+    """The product's headers and one that each answer repeats."""
+
+    def request(self, call: Call, instance: str, now_s: float) -> WireRequest:
+        wire = super().request(call, instance, now_s)
+        return WireRequest(
+            wire.method,
+            wire.target,
+            wire.headers,
+            wire.body,
+            echo=(b'x-request', b'own'),
+        )
+
+
+def _call(timeout_s: float = 3.0, *, is_idempotent: bool = True) -> Call:
+    return Call(
+        request_id=RequestId('r'),
+        method='GET',
+        target='/a',
+        headers=(),
+        body=b'',
+        service=Service(name='consult'),
+        rank=Rank(name='urgent'),
+        is_idempotent=is_idempotent,
+        deadline_s=clock.now_s() + timeout_s,
+        version=Version(1),
+    )
+
+
+class _Fixture:
+    """A daemon's side of one backend server."""
+
+    def __init__(self, **limits: int) -> None:
+        document = {
+            'cluster': 'c',
+            'host': 'h',
+            'region': 'r',
+            'availability_zone': 'z',
+            'admin': {'token': '0123456789abcdef'},
+            'limits': {'max_answer_bytes': _MEBIBYTE, **limits},
+            'platform': {'url': 'http://127.0.0.1:1', 'region': 'r'},
+        }
+        settings = parse_settings(msgspec.json.encode(document))
+        self.log = ListLog()
+        self.settings = settings
+        self.server = BackendServer(settings, self.log)
+
+    async def announce(self, endpoint: Endpoint, slots: int = 1) -> None:
+        await self.server.announce(
+            Announcement(
+                instance='1',
+                service=ServiceName('consult'),
+                address=endpoint.address,
+                port=endpoint.port,
+                slots=slots,
+                connections=slots,
+            ),
+            clock.now_s(),
+        )
+
+    @property
+    def in_use(self) -> int:
+        return self.server.load(clock.now_s()).in_use
+
+    def declined(self) -> list[object]:
+        """Return the causes that the log tells."""
+        lines = zip(self.log.events, self.log.lines, strict=True)
+        return [
+            fields['cause']
+            for event, fields in lines
+            if event is Event.DECLINED
+        ]
+
+
+class _FloodCase(unittest.IsolatedAsyncioTestCase):
+    """Checks that hold for each kind of endless bytes."""
+
+    async def check(self, flood: Flood, cause: Cause) -> None:
+        """Check outcome, connection, slot, log and the next request."""
+        fixture = _Fixture()
+        self.adapt(fixture)
+        async with flooding(flood) as endpoint:
+            await fixture.announce(endpoint)
+            outcome = await fixture.server.run(_call())
+            self.assertEqual(outcome, Unknown(cause))
+            self.assertEqual(fixture.in_use, 0)
+            self.assertEqual(fixture.declined(), [cause.value])
+            await self.check_next(fixture)
+            await _settled(flood)
+        self.assertEqual(flood.cut, 1)
+        self.assertLess(flood.sent_bytes, _CLOSED_WITHIN_BYTES)
+
+    def adapt(self, fixture: _Fixture) -> None:
+        """Leave the fixture as it is."""
+
+    async def check_next(self, fixture: _Fixture) -> None:
+        """Check that the request after it is served."""
+        following = await fixture.server.run(_call())
+        self.assertEqual(_status(following), 200)
+
+
+def _status(outcome: Outcome) -> int:
+    return outcome.status if isinstance(outcome, Answered) else 0
+
+
+async def _settled(flood: Flood) -> None:
+    """Wait until the connection has been closed, at most for a while."""
+    with anyio.move_on_after(1):
+        await flood.is_cut.wait()
+
+
+class EndlessHeadTests(_FloodCase):
+    """A head without end ends the exchange; the request may have run."""
+
+    async def test_heads(self) -> None:
+        for name, (head, piece) in _HEADS.items():
+            with self.subTest(name):
+                flood = Flood(head, piece)
+                await self.check(flood, Cause.ENDLESS_ANSWER)
+
+
+class EndlessFramingTests(_FloodCase):
+    """Chunks that bring nothing, and trailers, end the exchange."""
+
+    async def test_framing(self) -> None:
+        for name, (head, piece) in _FRAMING.items():
+            with self.subTest(name):
+                flood = Flood(head, piece)
+                await self.check(flood, Cause.ENDLESS_ANSWER)
+
+
+class OtherAnswersTests(_FloodCase):
+    """Answers to other requests without end are no answer to this one."""
+
+    def adapt(self, fixture: _Fixture) -> None:
+        fixture.server = BackendServer(
+            fixture.settings, fixture.log, _Dialect()
+        )
+
+    async def check_next(self, fixture: _Fixture) -> None:
+        """The next answer lacks the header and is none."""
+        following = await fixture.server.run(_call())
+        self.assertEqual(following, Unknown(Cause.CONNECTION_LOST))
+
+    async def test_other_answers(self) -> None:
+        for name, (head, piece) in _OTHERS.items():
+            with self.subTest(name):
+                flood = Flood(head, piece)
+                await self.check(flood, Cause.ENDLESS_ANSWER)
+
+
+class EndlessBodyTests(_FloodCase):
+    """A body without end is an answer over the limit."""
+
+    async def test_bodies(self) -> None:
+        for name, (head, piece) in _BODIES.items():
+            with self.subTest(name):
+                flood = Flood(head, piece)
+                await self.check(flood, Cause.ANSWER_TOO_LARGE)
+
+
+class WithinLimitsTests(unittest.IsolatedAsyncioTestCase):
+    """Whole answers within the limits come through, however they are cut."""
+
+    async def test_many_small_chunks(self) -> None:
+        size = 20_000
+        wire = _CHUNKED + b'1\r\nx\r\n' * size + b'0\r\n\r\n'
+        answered = await self._answered(wire)
+        self.assertEqual(answered.body, b'x' * size)
+
+    async def test_chunks_with_extensions(self) -> None:
+        size = 5000
+        piece = b'1;name=value\r\nx\r\n'
+        answered = await self._answered(_CHUNKED + piece * size + b'0\r\n\r\n')
+        self.assertEqual(answered.body, b'x' * size)
+
+    async def test_large_head(self) -> None:
+        text = b'x' * (MAX_HEAD_BYTES - 100)
+        answered = await self._answered(
+            b'%bx-a: %b\r\ncontent-length: 0\r\n\r\n' % (_OK, text)
+        )
+        self.assertEqual(answered.headers, ((b'x-a', text),))
+
+    async def test_whole_head_over_the_limit(self) -> None:
+        text = b'x' * MAX_HEAD_BYTES
+        wire = b'%bx-a: %b\r\ncontent-length: 0\r\n\r\n' % (_OK, text)
+        outcome = await self._run_with(wire)
+        self.assertEqual(outcome, Unknown(Cause.ENDLESS_ANSWER))
+
+    async def test_answers_one_after_the_other(self) -> None:
+        """What earlier exchanges read does not count."""
+        text = b'x' * (MAX_HEAD_BYTES - 100)
+        wire = b'%bx-a: %b\r\ncontent-length: 0\r\n\r\n' % (_OK, text)
+        fixture = _Fixture()
+        async with running_server(answering(wire, wire)) as endpoint:
+            await fixture.announce(endpoint)
+            for _ in range(2):
+                outcome = await fixture.server.run(_call())
+                self.assertEqual(_status(outcome), 200)
+
+    async def _answered(self, wire: bytes) -> Answered:
+        """Return the answer that comes in these bytes."""
+        outcome = await self._run_with(wire)
+        self.assertEqual(_status(outcome), 200)
+        return cast(Answered, outcome)
+
+    async def _run_with(self, wire: bytes) -> Outcome:
+        fixture = _Fixture()
+        async with running_server(answering(wire)) as endpoint:
+            await fixture.announce(endpoint)
+            return await fixture.server.run(_call())
+
+
+class TrickleTests(unittest.IsolatedAsyncioTestCase):
+    """A few bytes now and then end at the request's deadline."""
+
+    async def test_trickle(self) -> None:
+        for head, piece in (
+            (_OK, b'x-a: b\r\n'),
+            (_CHUNKED, b'1\r\nx\r\n'),
+            (b'', b'HTTP/1.1 100 Continue\r\n\r\n'),
+        ):
+            with self.subTest(piece):
+                await self._check(Flood(head, piece, pause_s=0.02))
+
+    async def _check(self, flood: Flood) -> None:
+        fixture = _Fixture()
+        async with flooding(flood) as endpoint:
+            await fixture.announce(endpoint)
+            began_s = clock.now_s()
+            outcome = await fixture.server.run(_call(0.3))
+            self.assertLess(clock.now_s() - began_s, 0.5)
+            self.assertEqual(outcome, Unknown(Cause.DEADLINE))
+            self.assertEqual(fixture.declined(), ['deadline'])
+            following = await fixture.server.run(_call())
+            self.assertEqual(_status(following), 200)
+            await _settled(flood)
+        self.assertEqual(flood.cut, 1)
+
+
+class RepeatTests(unittest.TestCase):
+    """What may have run is repeated only where that is harmless."""
+
+    def test_only_idempotent_requests_are_repeated(self) -> None:
+        policies: tuple[RetryPolicy, ...] = (
+            BudgetedRetries(),
+            NaiveRetries(),
+            SharedBudgetRetries(RetryTerms(), lambda: 1),
+        )
+        outcome = Unknown(Cause.ENDLESS_ANSWER)
+        for policy in policies:
+            for is_idempotent in (True, False):
+                call = _call(is_idempotent=is_idempotent)
+                is_repeated = policy.allows(call, outcome, clock.now_s())
+                self.assertIs(is_repeated, is_idempotent, policy)
+
+    def test_it_is_never_a_promise(self) -> None:
+        outcome = Unknown(Cause.ENDLESS_ANSWER)
+        front = render(outcome, RequestId('r'), Version(1))
+        platform = PlatformCallers('consult', random.Random(1))
+        self.assertEqual(front.status, 502)
+        self.assertEqual(platform.render(outcome, 'r').status, 502)
+
+
+class _InOrder:
+    """Chooses members in the order of the list."""
+
+    def choose(
+        self,
+        members: Sequence[Member],
+        rank: Rank,
+        tried: Collection[HostId],
+        now_s: float,
+    ) -> Member | None:
+        found = sorted(one.host for one in members if one.host not in tried)
+        by_host = {one.host: one for one in members}
+        return by_host[found[0]] if found else None
+
+    def started(self, *told: object) -> None:
+        """Keep nothing."""
+
+    def finished(self, *told: object) -> None:
+        """Keep nothing."""
+
+    def weigh(self, *told: object) -> None:
+        """Keep nothing."""
+
+
+class _Elsewhere:
+    """Answers for all other hosts."""
+
+    def __init__(self) -> None:
+        self.hosts: list[str] = []
+
+    async def forward(self, call: Call, peer: Member) -> Attempt:
+        self.hosts.append(peer.host)
+        return Attempt(Answered(200, (), b'body'), 0)
+
+
+class ElsewhereTests(unittest.IsolatedAsyncioTestCase):
+    """Another server answers in time what one floods."""
+
+    async def test_idempotent_request_is_answered_elsewhere(self) -> None:
+        outcome, tried = await self._dispatch(is_idempotent=True)
+        self.assertEqual(_status(outcome), 200)
+        self.assertEqual(sorted(tried), ['flooded', 'good'])
+
+    async def test_other_request_is_not_sent_again(self) -> None:
+        outcome, tried = await self._dispatch(is_idempotent=False)
+        self.assertEqual(outcome, Unknown(Cause.ENDLESS_ANSWER))
+        self.assertEqual(tried, ['flooded'])
+
+    async def _dispatch(
+        self,
+        *,
+        is_idempotent: bool,
+    ) -> tuple[Outcome, list[str]]:
+        """Dispatch a request that its own host's server floods."""
+        fixture = _Fixture()
+        forwarder = _Elsewhere()
+        members = Members(
+            member('flooded'), fixture.settings.membership, clock.now_s()
+        )
+        members.merge((member('good', zone='a2'),), clock.now_s())
+        dispatcher = Dispatcher(
+            members,
+            _InOrder(),  # type: ignore[arg-type]
+            SharedBudgetRetries(RetryTerms(), lambda: 2),
+            Homes(members, 1),
+            fixture.server,
+            fixture.server.load,
+            forwarder,  # type: ignore[arg-type]
+            Metrics(),
+            fixture.log,
+        )
+        async with flooding(Flood(_OK, _LONG)) as endpoint:
+            await fixture.announce(endpoint)
+            outcome = await dispatcher.dispatch(
+                _call(is_idempotent=is_idempotent)
+            )
+        return outcome, ['flooded', *forwarder.hosts]
--- a/tests/test_goal_choice.py
+++ b/tests/test_goal_choice.py
@@ -117,6 +117,12 @@
             self._finish('near', failed if number % 2 else _SERVED)
         self.assertEqual(self._chosen(0.01), {'beside': 20})
 
+    def test_requests_go_around_one_that_sends_no_answers(self) -> None:
+        for number in range(12):
+            flooded = Unknown(Cause.ENDLESS_ANSWER)
+            self._finish('near', flooded if number % 2 else _SERVED)
+        self.assertEqual(self._chosen(0.01), {'beside': 20})
+
     def test_one_failure_moves_nothing(self) -> None:
         """A single answer may fail on any server."""
         for failed in (Refused(Cause.REJECTED), Unknown(Cause.DEADLINE)):
