Bound the answers that are being read together

Cause: each answer had its own limit, 64 MiB on the users' platform, and nothing bounded them together. With nine slots, bodies without end took up to 576 MiB on a host of 200 MB, and the system would have ended the daemon with all that it held.

Ruled out: a part of the limit for each slot, as large answers are rare and would lose most of it; not reading on while the limit is reached, as answers that all wait for room would wait to their deadlines.

Change: `AnswerMemory` counts the parts of answers that are not whole yet, of all connections to the backend server.

Measured: four floods at once with 4 MiB for all ran to their deadline before, and are closed now; a smaller answer beside a flood is kept (unit test).

--- a/src/ragwortstand/backend_servers/clients.py
+++ b/src/ragwortstand/backend_servers/clients.py
@@ -15,8 +15,9 @@
     WireRequest,
     end_to_end,
 )
+from ragwortstand.backend_servers.memory import AnswerMemory
 from ragwortstand.backend_servers.reading import Reading
-from ragwortstand.exceptions import BackendServerError
+from ragwortstand.exceptions import AnswerTooLargeError, BackendServerError
 from ragwortstand.sockets import Vigilance, watch_connection
 from ragwortstand.verdicts import Answered, Verdict
 
@@ -37,12 +38,20 @@
 
     :param endpoint: address of the server.
     :param max_answer_bytes: limit of an answer's body.
+    :param memory: bounds the answers of all connections; None leaves it to
+        the limit of each.
     """
 
-    def __init__(self, endpoint: Endpoint, max_answer_bytes: int) -> None:
+    def __init__(
+        self,
+        endpoint: Endpoint,
+        max_answer_bytes: int,
+        memory: AnswerMemory | None = None,
+    ) -> None:
         """Prepare a connection that is not open yet."""
         self._host = f'{endpoint.address}:{endpoint.port}'.encode()
         self._max_answer_bytes = max_answer_bytes
+        self._memory = memory or AnswerMemory(max_answer_bytes)
         self._transport: asyncio.Transport | None = None
         self._answer: asyncio.Future[Answered] | None = None
         self._reset(None)
@@ -52,6 +61,7 @@
         cls,
         endpoint: Endpoint,
         max_answer_bytes: int,
+        memory: AnswerMemory | None = None,
     ) -> 'HttptoolsConnection':
         """Open a connection.
 
@@ -61,7 +71,7 @@
         try:
             with anyio.fail_after(CONNECT_TIMEOUT_S):
                 _, connection = await loop.create_connection(
-                    lambda: cls(endpoint, max_answer_bytes),
+                    lambda: cls(endpoint, max_answer_bytes, memory),
                     endpoint.address,
                     endpoint.port,
                 )
@@ -93,6 +103,7 @@
             raise
         finally:
             self._answer = None
+            self._memory.release(self)
 
     def close(self) -> None:
         """Close the connection at once."""
@@ -160,7 +171,15 @@
 
     def on_body(self, body: bytes) -> None:
         """Collect a part of the body."""
+        if self._is_answered:
+            return
         self._reading.add_part(body)
+        self._memory.hold(self, len(body))
+
+    def drop(self) -> None:
+        """Give up an answer that takes too much room beside the others."""
+        self._reading.begin()
+        self._check(AnswerTooLargeError())
 
     def on_message_complete(self) -> None:
         """Deliver the answer, unless it belongs to another request."""
--- a/src/ragwortstand/backend_servers/server.py
+++ b/src/ragwortstand/backend_servers/server.py
@@ -2,6 +2,7 @@
 
 import enum
 from collections.abc import Awaitable, Callable
+from functools import partial
 from typing import TypeAlias
 
 import anyio
@@ -32,6 +33,7 @@
     RagwortDialect,
 )
 from ragwortstand.backend_servers.exchanges import Exchanges
+from ragwortstand.backend_servers.memory import AnswerMemory
 from ragwortstand.calls import Call
 from ragwortstand.events import Event, EventLog
 from ragwortstand.ids import ServiceName
@@ -66,7 +68,8 @@
     :param log: where events go.
     :param dialect: headers of requests and the meaning of answers.
     :param admission: who gets the slots; None takes the settings' policy.
-    :param connect: opens connections to the backend server.
+    :param connect: opens connections to the backend server; None takes those
+        of httptools, whose answers share the settings' limit.
     """
 
     def __init__(
@@ -75,7 +78,7 @@
         log: EventLog,
         dialect: BackendDialect | None = None,
         admission: Admission | None = None,
-        connect: Connect = HttptoolsConnection.connect,
+        connect: Connect | None = None,
     ) -> None:
         """Start without a backend server."""
         self._settings = settings.backend_server
@@ -92,7 +95,7 @@
             settings.backend_server,
             settings.limits.max_answer_bytes,
             dialect or RagwortDialect(),
-            connect,
+            connect or _connect_for(settings),
             self.crashes,
             self._down,
         )
@@ -330,6 +333,11 @@
     return ShareAdmission()
 
 
+def _connect_for(settings: DaemonSettings) -> Connect:
+    memory = AnswerMemory(settings.limits.max_reading_bytes)
+    return partial(HttptoolsConnection.connect, memory=memory)
+
+
 def _always(call: Call) -> bool:
     """Run suspects here where nothing tells their home."""
     return True
--- a/src/ragwortstand/daemon.py
+++ b/src/ragwortstand/daemon.py
@@ -9,7 +9,6 @@
 from anyio.abc import TaskGroup
 
 from ragwortstand.backend_servers import BackendServer, BackendState
-from ragwortstand.backend_servers.clients import HttptoolsConnection
 from ragwortstand.backend_servers.connections import Connect
 from ragwortstand.backend_servers.httpcore_client import HttpcoreConnection
 from ragwortstand.callers import Dispatcher, Front, OnceRunner, OverloadGuard
@@ -56,9 +55,10 @@
 from ragwortstand.supervision import supervise
 from ragwortstand.versions import Snapshot, VersionGate
 
-_CONNECTS: Mapping[str, Connect] = MappingProxyType(
+# None is the backend server's own choice.
+_CONNECTS: Mapping[str, Connect | None] = MappingProxyType(
     {
-        'httptools': HttptoolsConnection.connect,
+        'httptools': None,
         'httpcore': HttpcoreConnection.connect,
     },
 )
--- a/src/ragwortstand/platform/settings.py
+++ b/src/ragwortstand/platform/settings.py
@@ -26,6 +26,9 @@
 # The platform keeps the operators' interface; this one is not served.
 _UNUSED_TOKEN = 'not-served-on-this-platform'
 _MAX_BODY_BYTES = 64 * 1024 * 1024
+# All answers that are being read; the smallest hosts have 200 MB, and a whole
+# answer is copied more than once on its way to the caller.
+_MAX_READING_BYTES = 32 * 1024 * 1024
 # Heartbeats that may be missed, or come late, before a silent backend server
 # counts as gone.
 _MISSED_HEARTBEATS = 4
@@ -131,7 +134,8 @@
             peers=PeerSettings(address=inbound.address, port=inbound.port),
             limits=LimitSettings(
                 max_request_bytes=_MAX_BODY_BYTES,
-                max_answer_bytes=_MAX_BODY_BYTES,
+                max_answer_bytes=_MAX_READING_BYTES,
+                max_reading_bytes=_MAX_READING_BYTES,
             ),
             backend_server=BackendServerSettings(
                 idle_reuse_s=_IDLE_REUSE_S,
--- a/src/ragwortstand/settings.py
+++ b/src/ragwortstand/settings.py
@@ -66,6 +66,8 @@
 
     :param max_request_bytes: size of a request's body.
     :param max_answer_bytes: size of an answer's body.
+    :param max_reading_bytes: size of the bodies of all answers that are being
+        read from the backend server.
     :param max_in_flight: requests that the daemon holds at once.
     """
 
@@ -75,6 +77,9 @@
     max_answer_bytes: Annotated[int, Field(ge=0, le=256 * _MEBIBYTE)] = (
         8 * _MEBIBYTE
     )
+    max_reading_bytes: Annotated[int, Field(ge=0, le=1024 * _MEBIBYTE)] = (
+        64 * _MEBIBYTE
+    )
     max_in_flight: Annotated[int, Field(ge=1, le=100_000)] = 1000
 
 
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -13,6 +13,7 @@
 from ragwortstand.backend_servers import Announcement, BackendServer
 from ragwortstand.backend_servers.connections import Endpoint, WireRequest
 from ragwortstand.backend_servers.dialect import RagwortDialect
+from ragwortstand.backend_servers.memory import AnswerMemory
 from ragwortstand.backend_servers.reading import MAX_HEAD_BYTES
 from ragwortstand.callers.answers import render
 from ragwortstand.callers.dispatch import Dispatcher
@@ -298,6 +299,78 @@
             return await fixture.server.run(_call())
 
 
+class _Holder:
+    """Keeps whether its answer was given up."""
+
+    def __init__(self) -> None:
+        self.is_dropped = False
+
+    def drop(self) -> None:
+        self.is_dropped = True
+
+
+class MemoryTests(unittest.IsolatedAsyncioTestCase):
+    """All answers that are being read share one bound."""
+
+    def test_largest_answer_is_given_up(self) -> None:
+        memory = AnswerMemory(100)
+        small, endless = _Holder(), _Holder()
+        memory.hold(small, 40)
+        for _ in range(6):
+            memory.hold(endless, 10)
+        self.assertFalse(endless.is_dropped)
+        memory.hold(small, 1)
+        self.assertTrue(endless.is_dropped)
+        self.assertFalse(small.is_dropped)
+        self.assertEqual(memory.total_bytes, 41)
+
+    def test_released_answers_do_not_count(self) -> None:
+        memory = AnswerMemory(100)
+        for holder in (_Holder(), _Holder(), _Holder()):
+            memory.hold(holder, 90)
+            memory.release(holder)
+            self.assertFalse(holder.is_dropped)
+        self.assertEqual(memory.total_bytes, 0)
+
+    async def test_floods_together(self) -> None:
+        """Answers below their own limit are bounded together."""
+        flood = Flood(_CHUNKED, b'10000\r\n%b\r\n' % _LONG, floods=4)
+        fixture = _Fixture(
+            max_answer_bytes=256 * _MEBIBYTE,
+            max_reading_bytes=4 * _MEBIBYTE,
+        )
+        outcomes: list[Outcome] = []
+
+        async def run() -> None:
+            outcomes.append(await fixture.server.run(_call()))
+
+        async with flooding(flood) as endpoint:
+            await fixture.announce(endpoint, slots=4)
+            async with anyio.create_task_group() as calls:
+                for _ in range(4):
+                    calls.start_soon(run)
+            following = await fixture.server.run(_call())
+            await _settled(flood)
+        expected = [Unknown(Cause.ANSWER_TOO_LARGE)] * 4
+        self.assertEqual(outcomes, expected)
+        self.assertEqual(_status(following), 200)
+        self.assertEqual(fixture.in_use, 0)
+        self.assertEqual(flood.cut, 4)
+        self.assertLess(flood.sent_bytes, 4 * _CLOSED_WITHIN_BYTES)
+
+    async def test_whole_answers_make_room(self) -> None:
+        size = 3 * _MEBIBYTE
+        wire = b'%bcontent-length: %d\r\n\r\n' % (_OK, size) + b'x' * size
+        fixture = _Fixture(
+            max_answer_bytes=size, max_reading_bytes=4 * _MEBIBYTE
+        )
+        async with running_server(answering(wire, wire)) as endpoint:
+            await fixture.announce(endpoint)
+            for _ in range(2):
+                outcome = await fixture.server.run(_call())
+                self.assertEqual(_status(outcome), 200)
+
+
 class TrickleTests(unittest.IsolatedAsyncioTestCase):
     """A few bytes now and then end at the request's deadline."""
 
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -30,6 +30,8 @@
     'somethingNew': {'a': 1},
 }
 
+_SMALLEST_HOST_BYTES = 200_000_000
+
 
 class _Base(unittest.TestCase):
     def setUp(self) -> None:
@@ -61,6 +63,13 @@
         seeds = load_node(self._write()).sidecar().seeds
         self.assertEqual(seeds, ('tcp://10.1.0.42:8624',))
 
+    def test_answers_fit_the_smallest_host(self) -> None:
+        """Parts, whole body, message and buffer of an answer are copies."""
+        limits = load_node(self._write()).sidecar().daemon.limits
+        copies_bytes = limits.max_reading_bytes * 4
+        self.assertLess(copies_bytes, _SMALLEST_HOST_BYTES)
+        self.assertLessEqual(limits.max_answer_bytes, limits.max_reading_bytes)
+
 
 class FaultTests(_Base):
     """Files that can't be used are told with the reason."""
