End bodies without end in the baseline client too

Cause: it read the whole body before it compared the size with the limit, so a body without end was kept in memory up to the request's deadline.

Ruled out: heads and chunk extensions, which its library ends at 100 KB as malformed (tests of three heads pass without a change). Informational answers without end are not kept, and end with the deadline.

Change: `read_body` adds up the parts and ends the exchange at the limit, which closes the connection.

--- a/src/ragwortstand/backend_servers/httpcore_client.py
+++ b/src/ragwortstand/backend_servers/httpcore_client.py
@@ -72,20 +72,11 @@
         :raises BackendServerError: when the connection ends early.
         """
         try:
-            answer = await self._connection.request(
-                request.method,
-                self._url + request.target,
-                headers=list(end_to_end(request.headers)),
-                content=request.body,
-            )
+            return await self._answered(request)
         except (httpcore.NetworkError, httpcore.ProtocolError) as error:
             problem = str(error)
             verdict = Verdict.MAY_HAVE_RUN
             raise BackendServerError(problem, verdict) from error
-        if len(answer.content) > self._max_answer_bytes:
-            raise AnswerTooLargeError
-        headers = tuple((name.lower(), text) for name, text in answer.headers)
-        return Answered(answer.status, end_to_end(headers), answer.content)
 
     def close(self) -> None:
         """Close the connection as soon as the event loop allows."""
@@ -93,6 +84,34 @@
         closing = asyncio.ensure_future(self._connection.aclose())
         closing.add_done_callback(_ignore_failure)
 
+    async def _answered(self, request: WireRequest) -> Answered:
+        async with self._connection.stream(
+            request.method,
+            self._url + request.target,
+            headers=list(end_to_end(request.headers)),
+            content=request.body,
+        ) as answer:
+            body = await read_body(answer, self._max_answer_bytes)
+        headers = tuple((name.lower(), text) for name, text in answer.headers)
+        return Answered(answer.status, end_to_end(headers), body)
+
+
+async def read_body(answer: httpcore.Response, max_bytes: int) -> bytes:
+    """Return the whole body of an answer.
+
+    :param answer: an answer whose body has not been read.
+    :param max_bytes: limit of the body.
+    :raises AnswerTooLargeError: as soon as the body is over the limit.
+    """
+    parts: list[bytes] = []
+    size_bytes = 0
+    async for part in answer.aiter_stream():
+        size_bytes += len(part)
+        if size_bytes > max_bytes:
+            raise AnswerTooLargeError
+        parts.append(part)
+    return b''.join(parts)
+
 
 def _ignore_failure(closing: 'asyncio.Future[None]') -> None:
     if not closing.cancelled():
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -13,6 +13,7 @@
 from ragwortstand.backend_servers import Announcement, BackendServer
 from ragwortstand.backend_servers.connections import Endpoint, WireRequest
 from ragwortstand.backend_servers.dialect import RagwortDialect
+from ragwortstand.backend_servers.httpcore_client import HttpcoreConnection
 from ragwortstand.backend_servers.memory import AnswerMemory
 from ragwortstand.backend_servers.reading import MAX_HEAD_BYTES
 from ragwortstand.callers.answers import render
@@ -371,6 +372,27 @@
                 self.assertEqual(_status(outcome), 200)
 
 
+class HttpcoreTests(_FloodCase):
+    """The baseline client ends bodies and heads without end as well."""
+
+    def adapt(self, fixture: _Fixture) -> None:
+        fixture.server = BackendServer(
+            fixture.settings, fixture.log, connect=HttpcoreConnection.connect
+        )
+
+    async def test_bodies(self) -> None:
+        for name, (head, piece) in _BODIES.items():
+            with self.subTest(name):
+                flood = Flood(head, piece)
+                await self.check(flood, Cause.ANSWER_TOO_LARGE)
+
+    async def test_heads(self) -> None:
+        for name in ('header name', 'header value', 'headers'):
+            with self.subTest(name):
+                flood = Flood(*_HEADS[name])
+                await self.check(flood, Cause.CONNECTION_LOST)
+
+
 class TrickleTests(unittest.IsolatedAsyncioTestCase):
     """A few bytes now and then end at the request's deadline."""
 
