Bound the answers of the table service and the object store

Cause: the client of the platform read whole bodies without a limit, and its time limit was that of each read: a body without end filled the memory, and a few bytes now and then kept a call and its connection for as long as they came. Who waited for the call (versions, claims, entry points) waited too.

Ruled out: the client of the store on the users' platform, whose calls end after their time as a whole and whose bodies have a limit of 4 MiB; with the bounds on heads all 16 kinds of endless bytes end there as an outage.

Change: bodies end at 32 MiB (a configuration has 4 MiB at most, a thousand kept answers 22 MiB), and a call ends after its time for connecting and its time for the answer, together. Both leave a write open, and renew the pool.

Measured: five cases (four bodies, one trickle) still ran after 3 s with a time limit of 0.3 s; all end within that now.

--- a/src/ragwortstand/storage/client.py
+++ b/src/ragwortstand/storage/client.py
@@ -1,6 +1,7 @@
 """ragwortstand.storage.client: HTTP client of the platform."""
 
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import TypeVar
 from urllib.parse import quote
 
@@ -8,8 +9,9 @@
 import httpcore
 import msgspec
 
+from ragwortstand.backend_servers.httpcore_client import read_body
 from ragwortstand.events import Event, EventLog
-from ragwortstand.exceptions import PlatformError
+from ragwortstand.exceptions import AnswerTooLargeError, PlatformError
 from ragwortstand.metrics import Metrics
 from ragwortstand.settings import PlatformSettings
 from ragwortstand.storage.table import (
@@ -21,7 +23,24 @@
 
 _Document = TypeVar('_Document')
 _MAX_CONNECTIONS = 4
+# Connecting takes the time limit at most, and so does the answer.
+_STEPS = 2
+# The largest configuration, or a thousand rows.
+_MAX_ANSWER_BYTES = 32 * 1024 * 1024
 _NO_CONNECTION = (httpcore.ConnectError, httpcore.ConnectTimeout)
+_NO_ANSWER = (
+    AnswerTooLargeError,
+    TimeoutError,
+    httpcore.NetworkError,
+    httpcore.ProtocolError,
+    httpcore.TimeoutException,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class _Answer:
+    status: int
+    content: bytes
 
 
 class PlatformClient:
@@ -91,7 +110,7 @@
         method: str,
         path: str,
         body: bytes = b'',
-    ) -> httpcore.Response:
+    ) -> _Answer:
         """Call the platform; a read is repeated once on a fresh connection."""
         try:
             return await self._call_once(kind, method, path, body)
@@ -106,22 +125,14 @@
         method: str,
         path: str,
         body: bytes,
-    ) -> httpcore.Response:
+    ) -> _Answer:
         pool = self._pool
         try:
-            answer = await pool.request(
-                method,
-                self._url + path,
-                content=body,
-                extensions={'timeout': self._timeouts},
-            )
+            with anyio.fail_after(self._timeouts['read'] * _STEPS):
+                answer = await self._exchange(pool, method, path, body)
         except _NO_CONNECTION as error:
             raise self._failure(kind, repr(error), Verdict.NOT_RUN) from error
-        except (
-            httpcore.NetworkError,
-            httpcore.ProtocolError,
-            httpcore.TimeoutException,
-        ) as error:
+        except _NO_ANSWER as error:
             await self._renew(pool)
             verdict = Verdict.MAY_HAVE_RUN
             raise self._failure(kind, repr(error), verdict) from error
@@ -132,6 +143,22 @@
         self._count(len(path) + len(body), len(answer.content))
         return answer
 
+    async def _exchange(
+        self,
+        pool: httpcore.AsyncConnectionPool,
+        method: str,
+        path: str,
+        body: bytes,
+    ) -> _Answer:
+        async with pool.stream(
+            method,
+            self._url + path,
+            content=body,
+            extensions={'timeout': self._timeouts},
+        ) as answer:
+            content = await read_body(answer, _MAX_ANSWER_BYTES)
+        return _Answer(answer.status, content)
+
     async def _renew(self, pool: httpcore.AsyncConnectionPool) -> None:
         """Replace a pool whose other connections may be silent as well."""
         if pool is self._pool:
@@ -169,7 +196,7 @@
         self.is_reachable = True
 
 
-def _decode(answer: httpcore.Response, form: type[_Document]) -> _Document:
+def _decode(answer: _Answer, form: type[_Document]) -> _Document:
     try:
         return msgspec.json.decode(answer.content, type=form)
     except msgspec.DecodeError as error:
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -20,6 +20,7 @@
 from ragwortstand.callers.dispatch import Dispatcher
 from ragwortstand.calls import Call
 from ragwortstand.events import Event
+from ragwortstand.exceptions import PlatformError
 from ragwortstand.ids import HostId, RequestId, ServiceName, Version
 from ragwortstand.metrics import Metrics
 from ragwortstand.models import Rank, Service
@@ -34,13 +35,22 @@
 )
 from ragwortstand.peers.shared_budget import RetryTerms, SharedBudgetRetries
 from ragwortstand.platform.headers import PlatformCallers
-from ragwortstand.settings import parse_settings
-from ragwortstand.verdicts import Answered, Cause, Outcome, Unknown
+from ragwortstand.platform.store import StoreClient
+from ragwortstand.settings import PlatformSettings, parse_settings
+from ragwortstand.storage.client import PlatformClient
+from ragwortstand.verdicts import (
+    Answered,
+    Cause,
+    Outcome,
+    Unknown,
+    Verdict,
+)
 from tests.fakes import ListLog, member
 from tests.floods import Flood, flooding
 from tests.servers import answering, running_server
 
 _MEBIBYTE = 1024 * 1024
+_TIMEOUT_S = 0.3
 # What may be written before the connection is closed: the limits, one read,
 # and the buffers of both sockets.
 _CLOSED_WITHIN_BYTES = 8 * _MEBIBYTE
@@ -521,3 +531,69 @@
                 _call(is_idempotent=is_idempotent)
             )
         return outcome, ['flooded', *forwarder.hosts]
+
+
+class StoreTests(unittest.IsolatedAsyncioTestCase):
+    """The clients of both stores end a call in time and call again."""
+
+    async def test_store_of_the_users_platform(self) -> None:
+        for kinds in (_HEADS, _FRAMING, _BODIES):
+            for name, (head, piece) in kinds.items():
+                with self.subTest(name):
+                    await self._check_store(Flood(head, piece))
+
+    async def test_platform(self) -> None:
+        for name, (head, piece) in _BODIES.items():
+            with self.subTest(name):
+                await self._check_platform(Flood(head, piece, floods=2))
+
+    async def test_trickle(self) -> None:
+        """Each part comes in time, and the whole call does not."""
+        head, piece = _CHUNKED, b'1\r\nx\r\n'
+        await self._check_platform(Flood(head, piece, floods=2, pause_s=0.05))
+        await self._check_store(Flood(head, piece, floods=2, pause_s=0.05))
+
+    async def _check_store(self, flood: Flood) -> None:
+        """Check that a write without an answer leaves it open."""
+        log = ListLog()
+        async with flooding(flood) as endpoint:
+            address = f'{endpoint.address}:{endpoint.port}'
+            client = StoreClient(address, Metrics(), log)
+            began_s = clock.now_s()
+            with self.assertRaises(PlatformError) as caught:
+                await client.write('/api/rows-tx', {})
+            await _settled(flood)
+            client.close()
+        self._check(flood, caught.exception, log, began_s)
+
+    async def _check_platform(self, flood: Flood) -> None:
+        """Check that a read ends, also where it is repeated."""
+        log = ListLog()
+        async with flooding(flood) as endpoint:
+            settings = PlatformSettings(
+                url=f'http://{endpoint.address}:{endpoint.port}',
+                region='r',
+                timeout_s=_TIMEOUT_S,
+            )
+            client = PlatformClient(settings, Metrics(), log)
+            began_s = clock.now_s()
+            with self.assertRaises(PlatformError) as caught:
+                with anyio.fail_after(3):
+                    await client.get_object('a')
+            await _settled(flood)
+            self._check(flood, caught.exception, log, began_s)
+            self.assertEqual(await client.get_object('a'), b'body')
+            await client.close()
+
+    def _check(
+        self,
+        flood: Flood,
+        error: PlatformError,
+        log: ListLog,
+        began_s: float,
+    ) -> None:
+        self.assertIs(error.verdict, Verdict.MAY_HAVE_RUN)
+        self.assertEqual(log.events, [Event.PLATFORM_OUTAGE])
+        self.assertLess(clock.now_s() - began_s, 3)
+        self.assertGreater(flood.cut, 0)
+        self.assertLess(flood.sent_bytes, 4 * _CLOSED_WITHIN_BYTES)
