--- a/src/ragwortstand/settings.py
+++ b/src/ragwortstand/settings.py
@@ -74,6 +74,8 @@
 
     :param max_request_bytes: size of a request's body.
     :param max_answer_bytes: size of an answer's body.
+    :param max_reading_bytes: size of the bodies of all answers that are being
+        read from the backend server.
     :param max_in_flight: requests that the daemon holds at once.
     """
 
@@ -83,6 +85,9 @@
     max_answer_bytes: Annotated[int, msgspec.Meta(ge=0, le=256 * _MEBIBYTE)] = (
         8 * _MEBIBYTE
     )
+    max_reading_bytes: Annotated[
+        int, msgspec.Meta(ge=0, le=1024 * _MEBIBYTE)
+    ] = 64 * _MEBIBYTE
     max_in_flight: Annotated[int, msgspec.Meta(ge=1, le=100_000)] = 1000
 
 
