--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -374,9 +374,10 @@
         self,
     ) -> None:
         async with _fixture() as fixture:
-            fixture.peer.runner.delay_s = 1
-            asked = asyncio.create_task(fixture.forward('filing', budget_s=5))
-            await anyio.sleep(0.1)
+            fixture.peer.runner.delay_s = 30
+            asked = asyncio.create_task(fixture.forward('filing', budget_s=60))
+            while not fixture.peer.runner.ran:  # noqa: ASYNC110
+                await anyio.sleep(0.01)
             fixture.peer.cut()
             fixture.peer.before = _refuse
             await anyio.sleep(0.6)
