Give each test run of sidecars loopback addresses of its own

Sidecars serve metrics on a fixed port. Two runs at once on one machine shared the addresses 127.0.0.2 and up, and the second one's processes ended with "Address already in use", which looked like a fleet that is not ready in 20 s.

--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -1,6 +1,7 @@
 """Real sidecar processes on loopback, with stand-ins for all around them."""
 
 import json
+import os
 import pathlib
 import signal
 import subprocess
@@ -28,6 +29,9 @@
 _HEARTBEAT_S = 0.5
 _MAX_ANSWER_BYTES = 1 << 20
 _GRACE_S = 6.0
+# Loopback addresses of this test process: sidecars serve their metrics on one
+# port, so that those of two runs at once can't share an address.
+_NETWORK = f'127.{1 + os.getpid() // 256 % 250}.{os.getpid() % 256}'
 STAMP = b'x-ragwortstand-server-stamp'
 REQUEST_ID = b'x-ragwortstand-request-id'
 
@@ -209,7 +213,7 @@
 
 
 async def _start_host(folder, number, service, ports, store_port, tasks):
-    address = f'127.0.0.{number + 1}'
+    address = f'{_NETWORK}.{number + 1}'
     zone, region = f'zone-{number % 2}', 'region'
     worker = Worker(f'i-{number}', service)
     worker.port = await _serve(worker.answer, address, tasks)
