Send the whole list of members to a few daemons at a time

Callers on large fleets got 502 for requests at which a server was at work, and requests ended without an answer: each daemon that got a newcomer's first probe fetched its whole list of members, all at the same moment. With 90 daemons that is 0.93 MB over the newcomer's link of 3.5 to 7 Mbit/s. Nothing else passed for one to two seconds; 88 daemons took the link for silent and reset it, with requests under way on it.

A daemon now sends its whole list to three daemons an interval, beside those that have no list yet; others get its own entry, which is what a newcomer has to tell, and compare lists later as ever.

Ruled out: own pauses of the asking daemon (a test on the daemon's event loop reads the answer of a beat before the watch looks at it); the cost of a version (21 to 29 ms of processor time).

The test counts the entries that a newcomer sends when it probes all others: 189 and 4,185 with 18 and 90 daemons before, at most five lists now.

--- a/src/ragwortstand/peers/gossip.py
+++ b/src/ragwortstand/peers/gossip.py
@@ -41,6 +41,10 @@
 _LOST_BEFORE_ZONE = 3
 # Lists fetched from strangers within one interval.
 _MAX_STRANGERS = 3
+# Whole lists that are sent to daemons with a list of their own within one
+# interval. All of a fleet meet a newcomer at the same moment, and as many lists
+# as there are daemons would fill its link for seconds.
+_MAX_LISTS = 3
 
 VersionListener = Callable[[Version, PeerAddress], None]
 
@@ -79,6 +83,7 @@
         self._tasks: TaskGroup | None = None
         self._differences = ListDifferences(settings)
         self._strangers_left = _MAX_STRANGERS
+        self._lists_left = _MAX_LISTS
         self._unseen: dict[ZoneName, set[HostId]] = {}
 
     async def run(self) -> None:
@@ -96,6 +101,7 @@
                     self._members.postpone(now_s)
                 before_s = now_s
                 self._strangers_left = _MAX_STRANGERS
+                self._lists_left = _MAX_LISTS
                 if self._members.expire(now_s):
                     probes.start_soon(self.spread)
                 for target in self.targets():
@@ -139,13 +145,19 @@
             for peer in chosen:
                 probes.start_soon(self._ping, peer, own)
 
-    async def join(self, address: PeerAddress) -> bool:
+    async def join(
+        self,
+        address: PeerAddress,
+        *,
+        is_newcomer: bool = True,
+    ) -> bool:
         """Ask a daemon for the list of members.
 
         :param address: where it listens.
+        :param is_newcomer: whether this daemon can't do without an answer.
         :returns: whether it answered.
         """
-        request = Join(self._members.own)
+        request = Join(self._members.own, is_newcomer)
         try:
             reply = await self._links.ask(address, request, _JOIN_TIMEOUT_S)
         except PeerError:
@@ -189,9 +201,17 @@
         return IndirectPong(await self._ping(member))
 
     def on_join(self, request: Join) -> MemberList:
-        """Answer a newcomer with the list of members."""
+        """Answer with the list of members, or with the own entry alone.
+
+        :param request: who asks.
+        """
         self._members.merge([request.member], anyio.current_time())
-        return MemberList(self._members.all(), self._version_in_force())
+        version = self._version_in_force()
+        if not request.is_newcomer:
+            if not self._lists_left:
+                return MemberList((self._members.own,), version)
+            self._lists_left -= 1
+        return MemberList(self._members.all(), version)
 
     def _meet(self, digest: int, address: PeerAddress) -> None:
         """Fetch the list of a daemon that was not known, unless it is alike.
@@ -204,7 +224,7 @@
         is_alike = digest == self._members.digest
         if self._tasks and self._strangers_left and not is_alike:
             self._strangers_left -= 1
-            self._tasks.start_soon(self.join, address)
+            self._tasks.start_soon(self._fetch_list, address)
 
     def _compare(self, digest: int, address: PeerAddress) -> None:
         """Fetch a whole list when lists have differed for a while.
@@ -216,7 +236,10 @@
         own = self._members.digest
         is_lasting = self._differences.is_lasting(own, digest, now_s)
         if is_lasting and self._tasks:
-            self._tasks.start_soon(self.join, address)
+            self._tasks.start_soon(self._fetch_list, address)
+
+    async def _fetch_list(self, address: PeerAddress) -> None:
+        await self.join(address, is_newcomer=False)
 
     def _outage_age_s(self) -> float | None:
         return self._homes.outage_age_s(anyio.current_time())
--- a/src/ragwortstand/peers/messages.py
+++ b/src/ragwortstand/peers/messages.py
@@ -119,12 +119,15 @@
 
 
 class Join(_Message, frozen=True):
-    """A newcomer asks for the list of members.
+    """A daemon asks for the list of members.
 
-    :param member: the newcomer.
+    :param member: the daemon that asks.
+    :param is_newcomer: whether it has no list of its own yet; others can do
+        without an answer, and ask again when lists still differ later.
     """
 
     member: Member
+    is_newcomer: bool = True
 
 
 class MemberList(_Message, frozen=True):
--- a/tests/test_gossip_lists.py
+++ b/tests/test_gossip_lists.py
@@ -2,6 +2,7 @@
 
 import random
 import unittest
+from collections import Counter
 from collections.abc import Iterable
 
 import anyio
@@ -15,6 +16,7 @@
 from ragwortstand.peers.messages import (
     Join,
     Member,
+    MemberList,
     MemberState,
     Ping,
     Reply,
@@ -38,6 +40,7 @@
     ) -> None:
         self.lists: dict[HostId, Members] = {}
         self.joins = 0
+        self.entries_sent: Counter[PeerAddress] = Counter()
         self._settings = MembershipSettings(
             probe_interval_s=interval_s, difference_s=difference_s
         )
@@ -75,7 +78,9 @@
         gossip = self._gossips.get(address)
         if isinstance(request, Join) and gossip:
             self.joins += 1
-            return gossip.on_join(request)
+            reply = gossip.on_join(request)
+            self.entries_sent[address] += len(reply.members)
+            return reply
         if isinstance(request, Ping) and gossip:
             return gossip.on_ping(sender, request)
         raise PeerError(Verdict.NOT_RUN, 'lost')
@@ -189,6 +194,51 @@
         self.assertEqual(daemons.joins, 3)
 
 
+class NewcomerTest(unittest.IsolatedAsyncioTestCase):
+    """A daemon that starts beside many that run."""
+
+    # Guards against LOST: the lists that all others fetched from a newcomer
+    # filled its link, which they then reset with requests under way on it.
+    async def test_few_fetch_the_list_of_a_newcomer(self) -> None:
+        for size in (18, 90, 200):
+            with self.subTest(size=size):
+                self.assertLessEqual(await self._entries_sent(size), 5 * size)
+
+    async def _entries_sent(self, size: int) -> int:
+        """Return how many entries a newcomer sends that probes all others."""
+        daemons = _Daemons(_NEVER_S, interval_s=10)
+        fleet = [member(f'h{one}') for one in range(size)]
+        newcomer = member('new')
+        for own in fleet:
+            daemons.start(own, fleet)
+        daemons.start(newcomer, fleet[:1])
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(daemons.run, _NEVER_S)
+            await anyio.sleep(0.05)
+            ping = Ping(NO_VERSION, None, 1, (newcomer,))
+            for own in fleet:
+                await daemons.ask(newcomer.host, own.peer_address, ping)
+            await anyio.sleep(0.3)
+            tasks.cancel_scope.cancel()
+        for members in daemons.lists.values():
+            self.assertIsNotNone(members.get(newcomer.host))
+        return daemons.entries_sent[newcomer.peer_address]
+
+    async def test_a_newcomer_gets_the_whole_list(self) -> None:
+        """However many daemons asked for it before."""
+        daemons = _Daemons(_NEVER_S)
+        fleet = [member(f'h{one}') for one in range(90)]
+        daemons.start(fleet[0], fleet)
+        for one in fleet[1:]:
+            join = Join(one, is_newcomer=False)
+            await daemons.ask(one.host, fleet[0].peer_address, join)
+        reply = await daemons.ask(
+            HostId('new'), fleet[0].peer_address, Join(member('new'))
+        )
+        assert isinstance(reply, MemberList)
+        self.assertEqual(len(reply.members), 91)
+
+
 class ListDifferencesTest(unittest.TestCase):
     """Which differences are worth a whole list."""
 
