Load the package's metadata only where a version is printed

The sidecar loaded importlib.metadata, and zipfile and csv with it, through the module of the exit codes, and has no option for its version. 408 modules are loaded at its start with it, 393 without (counted in sys.modules).

--- a/src/ragwortstand/commands.py
+++ b/src/ragwortstand/commands.py
@@ -3,7 +3,6 @@
 import argparse
 import enum
 import sys
-from importlib import metadata
 from typing import TypeAlias
 
 Commands: TypeAlias = 'argparse._SubParsersAction[argparse.ArgumentParser]'
@@ -24,14 +23,6 @@
     MAY_HAVE_HAPPENED = 6
 
 
-def add_version(parser: argparse.ArgumentParser) -> None:
-    """Add the option `--version` to a command line."""
-    version = metadata.version('ragwortstand')
-    parser.add_argument(
-        '--version', action='version', version=f'%(prog)s {version}'
-    )
-
-
 def report(problem: object, code: ExitCode) -> ExitCode:
     """Print a problem on standard error and return the exit code.
 
--- a/src/ragwortstand/daemon_cli.py
+++ b/src/ragwortstand/daemon_cli.py
@@ -7,10 +7,11 @@
 
 import anyio
 
-from ragwortstand.commands import ExitCode, add_version, report
+from ragwortstand.commands import ExitCode, report
 from ragwortstand.daemon import Daemon
 from ragwortstand.events import EliotLog
 from ragwortstand.exceptions import SettingsError
+from ragwortstand.program_version import add_version
 from ragwortstand.settings import DaemonSettings, load_settings
 
 
--- a/src/ragwortstand/operators/cli.py
+++ b/src/ragwortstand/operators/cli.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from ragwortstand import api
-from ragwortstand.commands import Commands, ExitCode, add_version, report
+from ragwortstand.commands import Commands, ExitCode, report
 from ragwortstand.ids import NO_VERSION, SubmissionId, Version
 from ragwortstand.operators import render
 from ragwortstand.operators.client import (
@@ -26,6 +26,7 @@
     FaultReport,
     SubmissionReport,
 )
+from ragwortstand.program_version import add_version
 from ragwortstand.verdicts import Verdict
 
 _EXIT_CODES = MappingProxyType(
--- a/src/ragwortstand/tools/capacity.py
+++ b/src/ragwortstand/tools/capacity.py
@@ -14,7 +14,8 @@
 
 import msgspec
 
-from ragwortstand.commands import ExitCode, add_version, report
+from ragwortstand.commands import ExitCode, report
+from ragwortstand.program_version import add_version
 from ragwortstand.tools.capacity_page import PAGE
 from ragwortstand.tools.gain import GainReport
 from ragwortstand.tools.member_cost import MemberCost
--- a/src/ragwortstand/tools/demo.py
+++ b/src/ragwortstand/tools/demo.py
@@ -18,9 +18,10 @@
 
 from ragwortstand import api
 from ragwortstand.authoring import Configuration, Rank
-from ragwortstand.commands import ExitCode, add_version, report
+from ragwortstand.commands import ExitCode, report
 from ragwortstand.exceptions import RagwortstandError
 from ragwortstand.ids import SubmissionId, Version
+from ragwortstand.program_version import add_version
 from ragwortstand.tools.audit import Audit, RankReport, audit, read_journals
 from ragwortstand.tools.background import BackgroundLoad
 from ragwortstand.tools.deployment import Deployment, load_deployment
--- a/src/ragwortstand/tools/explain.py
+++ b/src/ragwortstand/tools/explain.py
@@ -14,8 +14,9 @@
 from collections.abc import Iterator, Sequence
 from dataclasses import dataclass, field
 
-from ragwortstand.commands import ExitCode, add_version, report
+from ragwortstand.commands import ExitCode, report
 from ragwortstand.events import Event
+from ragwortstand.program_version import add_version
 from ragwortstand.tools.event_logs import TimedEvent, read_log
 
 _OUTCOMES = frozenset(
--- a/src/ragwortstand/tools/load_cli.py
+++ b/src/ragwortstand/tools/load_cli.py
@@ -8,8 +8,9 @@
 
 import msgspec
 
-from ragwortstand.commands import Commands, ExitCode, add_version, report
+from ragwortstand.commands import Commands, ExitCode, report
 from ragwortstand.exceptions import RagwortstandError
+from ragwortstand.program_version import add_version
 from ragwortstand.tools.audit import rank_report
 from ragwortstand.tools.background import BackgroundLoad
 from ragwortstand.tools.experiments import EXPERIMENTS, run_experiment
--- a/src/ragwortstand/tools/standin_cli.py
+++ b/src/ragwortstand/tools/standin_cli.py
@@ -14,7 +14,8 @@
 
 import anyio
 
-from ragwortstand.commands import ExitCode, add_version, report
+from ragwortstand.commands import ExitCode, report
+from ragwortstand.program_version import add_version
 from ragwortstand.servers import http_server
 from ragwortstand.sockets import bind, port_of
 from ragwortstand.tools.standin_backend import (
--- a/src/ragwortstand/tools/timeline.py
+++ b/src/ragwortstand/tools/timeline.py
@@ -12,8 +12,9 @@
 from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
 
-from ragwortstand.commands import ExitCode, add_version, report
+from ragwortstand.commands import ExitCode, report
 from ragwortstand.events import Event
+from ragwortstand.program_version import add_version
 from ragwortstand.tools import explain
 from ragwortstand.tools.event_logs import TimedEvent, read_events
 
--- a/tests/test_sidecar_imports.py
+++ b/tests/test_sidecar_imports.py
@@ -9,6 +9,7 @@
 _NOT_LOADED = frozenset(
     (
         'httpcore',
+        'importlib.metadata',
         'matplotlib',
         'pydantic',
         'pydantic_core',
