Compress a version once for all peers that hold the same

Each peer that fetched a version had it compressed anew, and after a change nearly all daemons fetch from the reader that told them first, each with the same version before it as the base. The distributor keeps the compressed contents of the version in force, at most one for each base that it holds.

--- a/src/ragwortstand/peers/distribution.py
+++ b/src/ragwortstand/peers/distribution.py
@@ -79,6 +79,8 @@
         self._log = log
         self._rng = rng
         self._tasks: TaskGroup | None = None
+        # Content of the version in force, by the version it is a delta to.
+        self._payloads: dict[Version, bytes] = {}
         self._is_fetching = False
         self.is_settled = False
         gate.subscribe(self._on_applied)
@@ -129,10 +131,12 @@
         if snapshot is None or snapshot.version < request.version:
             return NotHeld()
         base = self._gate.content(request.held) or b''
-        payload = compress(snapshot.content, base)
         held = request.held if base else NO_VERSION
-        version = snapshot.version
-        return VersionContent(version, snapshot.digest, held, payload)
+        payload = self._payloads.get(held)
+        if payload is None:
+            payload = compress(snapshot.content, base)
+            self._payloads[held] = payload
+        return VersionContent(snapshot.version, snapshot.digest, held, payload)
 
     async def ask_applied(self, member: Member) -> Version | None:
         """Return the version in force at a member, None without an answer."""
@@ -302,6 +306,7 @@
             )
 
     def _on_applied(self, snapshot: Snapshot) -> None:
+        self._payloads.clear()
         self._metrics.version.set(snapshot.version)
         self._log.emit(
             Event.APPLIED, version=snapshot.version, digest=snapshot.digest
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -16,15 +16,22 @@
 )
 from ragwortstand.metrics import Metrics
 from ragwortstand.models import digest_of
+from ragwortstand.peers.deltas import decompress
 from ragwortstand.peers.distribution import Distributor
 from ragwortstand.peers.members import Members
-from ragwortstand.peers.messages import Reply, Request
+from ragwortstand.peers.messages import (
+    FetchVersion,
+    NotHeld,
+    Reply,
+    Request,
+    VersionContent,
+)
 from ragwortstand.peers.version_sources import DistributionPolicy
 from ragwortstand.settings import MembershipSettings
 from ragwortstand.storage import VersionRecord
 from ragwortstand.tools.model import run_in_virtual_time
 from ragwortstand.verdicts import Verdict
-from ragwortstand.versions import VersionGate
+from ragwortstand.versions import Offer, VersionGate
 from tests.fakes import MESH, ListLog, member
 
 _CONTENT = MESH.to_json().encode()
@@ -114,3 +121,64 @@
         run_in_virtual_time(lambda: self._follow(60.0, 60.0))
         self.assertEqual(self.store.reads, 1)
         self.assertEqual(self.gate.version, Version(1))
+
+
+class FetchTests(unittest.TestCase):
+    """What a daemon answers to peers that fetch a version."""
+
+    def setUp(self) -> None:
+        """Have two versions accepted."""
+        self.gate = VersionGate()
+        members = Members(member('own'), MembershipSettings(), 0.0)
+        self.distributor = Distributor(
+            self.gate,
+            _Store(),
+            members,
+            _NoLinks(),
+            _POLICY,
+            Metrics(),
+            ListLog(),
+            random.Random(1),
+        )
+        for number in (1, 2):
+            self._accept(number)
+
+    def _accept(self, number: int) -> None:
+        route = MESH.routes[0].model_copy(update={'deadline_s': number})
+        mesh = MESH.model_copy(update={'routes': (route,)})
+        content = mesh.to_json().encode()
+        self.assertIs(
+            self.gate.offer(Version(number), digest_of(content), content),
+            Offer.APPLIED,
+        )
+
+    def _fetched(self, wanted: int, held: int) -> VersionContent:
+        """Return the answer to a peer, once it has the whole content."""
+        request = FetchVersion(Version(wanted), Version(held))
+        answer = self.distributor.on_fetch(request)
+        assert isinstance(answer, VersionContent)
+        base = self.gate.content(answer.base) or b''
+        content = decompress(answer.payload, base)
+        self.assertEqual(digest_of(content), answer.digest)
+        self.assertEqual(answer.version, self.gate.version)
+        return answer
+
+    def test_peers_that_hold_the_same_get_the_same_bytes(self) -> None:
+        first = self._fetched(2, held=1)
+        self.assertEqual(first.base, 1)
+        self.assertIs(self._fetched(2, held=1).payload, first.payload)
+
+    def test_peers_that_hold_others_get_their_own(self) -> None:
+        whole = self._fetched(2, held=0)
+        self.assertEqual(whole.base, 0)
+        self.assertEqual(self._fetched(2, held=1).base, 1)
+        # A version that is not known here is no base.
+        self.assertIs(self._fetched(2, held=9).payload, whole.payload)
+
+    def test_a_newer_version_replaces_what_was_kept(self) -> None:
+        self._fetched(2, held=1)
+        self._accept(3)
+        for held in (0, 1, 2):
+            self.assertEqual(self._fetched(2, held=held).base, held)
+        request = FetchVersion(Version(4), Version(3))
+        self.assertIsInstance(self.distributor.on_fetch(request), NotHeld)
