Doubt keys that may have run here before a restart

Only a home that had inherited a key from another doubted it.

Change: a home also doubts a key when it was not ready since the outage began; a home that was ready in all of the outage does not. Probes and lists of members tell when the outage began, as a daemon that starts in it sees only its end; with the list a newcomer knows before it has a first probe. Fields were added at the end of the messages, so daemons of both versions understand each other.

--- a/src/ragwortstand/daemon.py
+++ b/src/ragwortstand/daemon.py
@@ -335,8 +335,13 @@
     async def _watch_links(self) -> None:
         while True:
             await anyio.sleep(_WATCH_LINKS_S)
-            outage_age_s = self._homes.outage_age_s(anyio.current_time())
-            ping = Ping(self._gate.version, outage_age_s, self._members.digest)
+            now_s = anyio.current_time()
+            ping = Ping(
+                self._gate.version,
+                self._homes.outage_age_s(now_s),
+                self._members.digest,
+                outage_began_age_s=self._homes.outage_began_age_s(now_s),
+            )
             await self._links.watch(ping)
 
     async def _expire_backend_server(self) -> None:
--- a/src/ragwortstand/peers/gossip.py
+++ b/src/ragwortstand/peers/gossip.py
@@ -152,7 +152,9 @@
             return False
         if not isinstance(reply, MemberList):
             return False
-        self._members.merge(reply.members, anyio.current_time())
+        now_s = anyio.current_time()
+        self._members.merge(reply.members, now_s)
+        self._note_outage(reply, now_s)
         self._on_version(reply.version, address)
         return True
 
@@ -168,7 +170,7 @@
         member = self._members.get(sender)
         if member:
             self._members.vouch(sender, now_s)
-            self._homes.note_report(ping.outage_age_s, now_s)
+            self._note_outage(ping, now_s)
             self._on_version(ping.version, member.peer_address)
         if member and is_stranger:
             self._meet(ping.members_digest, member.peer_address)
@@ -176,9 +178,10 @@
             self._compare(ping.members_digest, member.peer_address)
         return Pong(
             self._version_in_force(),
-            self._outage_age_s(),
+            self._homes.outage_age_s(now_s),
             self._members.digest,
             self._news_for(sender),
+            self._homes.outage_began_age_s(now_s),
         )
 
     async def on_indirect_ping(self, request: IndirectPing) -> IndirectPong:
@@ -190,8 +193,14 @@
 
     def on_join(self, request: Join) -> MemberList:
         """Answer a newcomer with the list of members."""
-        self._members.merge([request.member], anyio.current_time())
-        return MemberList(self._members.all(), self._version_in_force())
+        now_s = anyio.current_time()
+        self._members.merge([request.member], now_s)
+        return MemberList(
+            self._members.all(),
+            self._version_in_force(),
+            self._homes.outage_age_s(now_s),
+            self._homes.outage_began_age_s(now_s),
+        )
 
     def _meet(self, digest: int, address: PeerAddress) -> None:
         """Fetch the list of a daemon that was not known, unless it is alike.
@@ -218,8 +227,12 @@
         if is_lasting and self._tasks:
             self._tasks.start_soon(self.join, address)
 
-    def _outage_age_s(self) -> float | None:
-        return self._homes.outage_age_s(anyio.current_time())
+    def _note_outage(
+        self, message: Ping | Pong | MemberList, now_s: float
+    ) -> None:
+        self._homes.note_report(
+            message.outage_age_s, now_s, message.outage_began_age_s
+        )
 
     async def _probe(self, target: Member) -> None:
         is_seen = await self._ping(target)
@@ -259,11 +272,13 @@
     ) -> bool:
         if news is None:
             news = self._introduced(self._news_for(target.host))
+        now_s = anyio.current_time()
         ping = Ping(
             self._version_in_force(),
-            self._outage_age_s(),
+            self._homes.outage_age_s(now_s),
             self._members.digest,
             news,
+            self._homes.outage_began_age_s(now_s),
         )
         timeout_s = self._settings.probe_timeout_s
         try:
@@ -275,7 +290,7 @@
         now_s = anyio.current_time()
         self._members.merge(reply.news, now_s)
         self._members.vouch(target.host, now_s)
-        self._homes.note_report(reply.outage_age_s, now_s)
+        self._note_outage(reply, now_s)
         self._on_version(reply.version, target.peer_address)
         self._compare(reply.members_digest, target.peer_address)
         return True
--- a/src/ragwortstand/peers/homes.py
+++ b/src/ragwortstand/peers/homes.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Iterable
+from dataclasses import dataclass
 
 from ragwortstand.ids import HostId, ServiceName
 from ragwortstand.peers.members import Members
@@ -13,6 +14,14 @@
 from ragwortstand.rendezvous import ranked
 
 
+@dataclass(frozen=True, slots=True)
+class _Outage:
+    """Times of the first and the last failure of the store."""
+
+    began_s: float
+    at_s: float
+
+
 class Homes:
     """Computes homes from the list of members.
 
@@ -25,7 +34,8 @@
         self._members = members
         self._window_s = window_s
         self._ready_since_s: float | None = None
-        self._outage_at_s: float | None = None
+        self._remembers_since_s: float | None = None
+        self._outage: _Outage | None = None
 
     def note_ready(self, is_ready: bool, now_s: float) -> None:
         """Note whether this daemon's backend server takes work.
@@ -35,22 +45,34 @@
         """
         if not is_ready:
             self._ready_since_s = None
+            self._remembers_since_s = None
         elif self._ready_since_s is None:
             self._ready_since_s = now_s
+            self._remembers_since_s = now_s
 
     def note_doubt(self, now_s: float) -> None:
         """Start the window again, as others took this daemon for dead."""
         if self._ready_since_s is not None:
             self._ready_since_s = now_s
 
-    def note_report(self, outage_age_s: float | None, now_s: float) -> None:
+    def note_report(
+        self,
+        outage_age_s: float | None,
+        now_s: float,
+        began_age_s: float | None = None,
+    ) -> None:
         """Note what a peer says of the last outage.
 
         :param outage_age_s: how long ago it was; None for never.
         :param now_s: present time.
+        :param began_age_s: how long ago it began; None where that is not
+            known.
         """
-        if outage_age_s is not None:
-            self.note_outage(now_s - outage_age_s)
+        if outage_age_s is None:
+            return
+        if began_age_s is None:
+            began_age_s = outage_age_s
+        self._note(now_s - began_age_s, now_s - outage_age_s)
 
     def home(
         self,
@@ -99,31 +121,60 @@
         key: str,
         now_s: float,
     ) -> bool:
-        """Return whether another home may have run a key without a claim.
+        """Return whether a key may have run without a claim, unknown here.
 
-        That is so when another member was home of the key and the store
-        failed anybody within the window.
+        That is so when the store failed anybody within the window, and since
+        it began to, another member was home of the key, or this daemon was
+        not up: it may have run the key before a restart.
 
         :param service: the service.
         :param key: the idempotency key.
         :param now_s: present time.
         """
         outage_s = self.outage_age_s(now_s)
-        was_out = outage_s is not None and outage_s <= self._window_s
-        return was_out and not self._is_first(service, key)
+        if outage_s is None or outage_s > self._window_s:
+            return False
+        remembers = self._remembers_outage(now_s)
+        return not (remembers and self._is_first(service, key))
 
     def outage_age_s(self, now_s: float) -> float | None:
         """Return how long ago the store failed anybody, None for never.
 
         :param now_s: present time.
         """
-        if self._outage_at_s is None:
-            return None
-        return now_s - self._outage_at_s
+        return now_s - self._outage.at_s if self._outage else None
+
+    def outage_began_age_s(self, now_s: float) -> float | None:
+        """Return how long ago the last outage began, None for never.
+
+        :param now_s: present time.
+        """
+        return now_s - self._outage.began_s if self._outage else None
 
     def note_outage(self, at_s: float) -> None:
         """Note that the store failed a call at a time."""
-        self._outage_at_s = max(at_s, self._outage_at_s or at_s)
+        self._note(at_s, at_s)
+
+    def _note(self, began_s: float, at_s: float) -> None:
+        """Join an outage to the last one unless a window lies between."""
+        last = self._outage
+        if last is None or began_s - last.at_s > self._window_s:
+            self._outage = _Outage(began_s, at_s)
+        elif last.began_s - at_s <= self._window_s:
+            began_s = min(began_s, last.began_s)
+            self._outage = _Outage(began_s, max(at_s, last.at_s))
+
+    def _remembers_outage(self, now_s: float) -> bool:
+        """Return whether this daemon was up in all of the last outage.
+
+        Of an outage that is longer than the window, only the window counts.
+
+        :param now_s: present time.
+        """
+        since_s = self._remembers_since_s
+        if since_s is None or self._outage is None:
+            return False
+        return since_s <= max(self._outage.began_s, now_s - self._window_s)
 
     def _is_first(self, service: ServiceName, key: str) -> bool:
         """Return whether this daemon leads among present and departed."""
--- a/src/ragwortstand/peers/messages.py
+++ b/src/ragwortstand/peers/messages.py
@@ -83,12 +83,14 @@
         sender knows; None for never.
     :param members_digest: digest of the sender's list of members.
     :param news: recent changes of members.
+    :param outage_began_age_s: how long ago that outage began.
     """
 
     version: Version
     outage_age_s: float | None
     members_digest: int
     news: tuple[Member, ...] = ()
+    outage_began_age_s: float | None = None
 
 
 class Pong(_Message, frozen=True):
@@ -98,6 +100,7 @@
     outage_age_s: float | None
     members_digest: int
     news: tuple[Member, ...] = ()
+    outage_began_age_s: float | None = None
 
 
 class IndirectPing(_Message, frozen=True):
@@ -132,10 +135,14 @@
 
     :param members: members in any state.
     :param version: version that the sender holds.
+    :param outage_age_s: as in `Ping`.
+    :param outage_began_age_s: as in `Ping`.
     """
 
     members: tuple[Member, ...]
     version: Version
+    outage_age_s: float | None = None
+    outage_began_age_s: float | None = None
 
 
 class OfferVersion(_Message, frozen=True):
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -192,6 +192,45 @@
         own = self._own_key()
         self.assertFalse(self.homes.is_in_doubt(_CONSULT, own, 81))
 
+    def test_restarted_home_doubts(self) -> None:
+        """A daemon may have run its own keys before it restarted."""
+        own = self._own_key()
+        restarted = Homes(self.members, window_s=60)
+        restarted.note_ready(is_ready=True, now_s=100)
+        self.assertFalse(restarted.is_in_doubt(_CONSULT, own, 101))
+        restarted.note_report(5.0, 101)
+        self.assertTrue(restarted.is_in_doubt(_CONSULT, own, 102))
+        self.assertFalse(restarted.is_in_doubt(_CONSULT, own, 157))
+
+    def test_home_that_restarted_during_the_outage_doubts(self) -> None:
+        """Failures after the restart do not hide those before it."""
+        own = self._own_key()
+        restarted = Homes(self.members, window_s=60)
+        restarted.note_ready(is_ready=True, now_s=100)
+        restarted.note_report(1.0, 110, 20.0)
+        restarted.note_outage(112)
+        self.assertEqual(restarted.outage_began_age_s(112), 22)
+        self.assertTrue(restarted.is_in_doubt(_CONSULT, own, 113))
+        self.assertFalse(restarted.is_in_doubt(_CONSULT, own, 160))
+
+    def test_young_home_that_saw_the_outage_begin(self) -> None:
+        """A daemon that was up in all of the outage knows what it ran."""
+        own = self._own_key()
+        young = Homes(self.members, window_s=60)
+        young.note_ready(is_ready=True, now_s=100)
+        young.note_outage(105)
+        young.note_doubt(106)
+        young.note_report(1.0, 107, 2.0)
+        self.assertFalse(young.is_in_doubt(_CONSULT, own, 108))
+
+    def test_an_older_outage_is_another(self) -> None:
+        """Outages with a window between them are not one."""
+        self.homes.note_outage(10)
+        self.homes.note_outage(80)
+        self.homes.note_report(75.0, 85, 80.0)
+        self.assertEqual(self.homes.outage_age_s(90), 10)
+        self.assertEqual(self.homes.outage_began_age_s(90), 10)
+
     def _own_key(self) -> str:
         return self._key_of('h0')
 
--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -212,6 +212,20 @@
         await anyio.sleep(0.6)
         self.assertEqual(await young.runner.run(_call()), _ANSWER)
 
+    async def test_restarted_home_does_not_repeat_work_of_an_outage(
+        self,
+    ) -> None:
+        """What ran from memory alone has no claim after a restart."""
+        self.platform.is_out = True
+        self.assertEqual(await self.first.runner.run(_call()), _ANSWER)
+        self.platform.is_out = False
+        restarted = _Daemon(self.platform, 'h1', window_s=60)
+        self._start_writer(restarted)
+        restarted.homes.note_report(0.1, anyio.current_time())
+        outcome = await restarted.runner.run(_call())
+        self.assertEqual(outcome, Unknown(Cause.CLAIM_UNAVAILABLE))
+        self.assertEqual(restarted.backend.runs, 0)
+
     async def test_not_the_home(self) -> None:
         """A daemon that is not the home refuses as not run."""
         others = [member(f'x{one}') for one in range(9)]
