Keep nothing of what short chunks leave of their framing

Cause: 32 bytes were allowed for each chunk and shorter ones added up: after 500,000 chunks of a byte, 13 MB of a trailer without end were read and kept by the parser.

Change: what is left over ends with each read; the count never goes below 0.

Measured: the new test ran to its deadline before and ends as `endless-answer` now; answers of 20,000 short chunks still come through.

--- a/src/ragwortstand/backend_servers/reading.py
+++ b/src/ragwortstand/backend_servers/reading.py
@@ -40,10 +40,9 @@
     parts: list[bytes] = field(default_factory=list)
     is_until_end: bool = False
     is_doubtful: bool = False
-    _read_bytes: int = 0
+    _other_bytes: int = 0
     _header_bytes: int = 0
     _body_bytes: int = 0
-    _chunks: int = 0
 
     def begin(self) -> None:
         """Start an answer."""
@@ -52,7 +51,7 @@
 
     def add_bytes(self, size_bytes: int) -> None:
         """Count bytes as they come from the connection."""
-        self._read_bytes += size_bytes
+        self._other_bytes += size_bytes
 
     def add_header(self, name: bytes, text: bytes) -> None:
         """Collect a header or trailer."""
@@ -61,12 +60,13 @@
             self.headers.append((name.lower(), text))
 
     def add_chunk(self) -> None:
-        """Count a chunk that begins."""
-        self._chunks += 1
+        """Leave the framing of a chunk out of account."""
+        self._other_bytes -= _CHUNK_FRAMING_BYTES
 
     def add_part(self, part: bytes) -> None:
         """Collect a part of the body."""
         self._body_bytes += len(part)
+        self._other_bytes -= len(part)
         if self._body_bytes <= self.max_body_bytes:
             self.parts.append(part)
 
@@ -82,10 +82,10 @@
         """Return the error when an answer that goes on is over a limit.
 
         Parts of a head, and bytes that are neither header nor body, show only
-        in what came from the connection.
+        in what came from the connection. What short chunks leave over is not
+        kept for later.
         """
-        other_bytes = self._read_bytes - self._body_bytes
-        other_bytes -= self._chunks * _CHUNK_FRAMING_BYTES
-        if other_bytes > MAX_HEAD_BYTES:
+        self._other_bytes = max(0, self._other_bytes)
+        if self._other_bytes > MAX_HEAD_BYTES:
             return self.excess() or EndlessAnswerError()
         return self.excess()
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -227,6 +227,12 @@
                 flood = Flood(head, piece)
                 await self.check(flood, Cause.ENDLESS_ANSWER)
 
+    async def test_small_chunks_buy_nothing(self) -> None:
+        """Many short chunks leave no room for a trailer without end."""
+        chunks = b'1\r\nx\r\n' * 500_000
+        flood = Flood(b'%b%b0\r\nx-a: ' % (_CHUNKED, chunks), _LONG)
+        await self.check(flood, Cause.ENDLESS_ANSWER)
+
 
 class OtherAnswersTests(_FloodCase):
     """Answers to other requests without end are no answer to this one."""
