Refuse requests whose body has framing or trailers without end

Cause: the limit on a caller's headers ended with the headers. Chunk extensions and zeros of a chunk size were read without end, and trailers were kept beside the headers without a limit, of their own or of all.

Ruled out: heads and bodies, whose limits hold (tests of before). A body that comes slowly has no time limit of its own; the platform names none.

Change: trailers count as headers, and what is neither body nor a short chunk size may take as much as headers may; beyond that the request is refused with 431 and the connection ends.

Measured: five kinds without end and one of whole trailers failed before, none after; the other tests of the server pass unchanged.

--- a/src/ragwortstand/http_server.py
+++ b/src/ragwortstand/http_server.py
@@ -28,6 +28,8 @@
 _RESUME_PIPELINED = 16
 # How often header and idle timeouts are checked; well below either limit.
 _SWEEP_S = 1.0
+# Size of a chunk in hexadecimal, a short extension, and the line ends.
+_CHUNK_FRAMING_BYTES = 32
 # Statuses whose answers have no body (RFC 9110, section 6.4.1).
 _WITHOUT_BODY = frozenset((204, 304))
 
@@ -65,8 +67,9 @@
 class _Incoming:
     """The parts of a request that is being read.
 
-    `header_bytes` counts what was read before the headers ended, and
-    `whole_bytes` the headers that are whole.
+    `header_bytes` counts what was read before the headers ended,
+    `whole_bytes` the headers and trailers that are whole, and `framing_bytes`
+    what was read after the headers beside the body and short chunk sizes.
     """
 
     since_s: float
@@ -76,6 +79,7 @@
     header_bytes: int = 0
     whole_bytes: int = 0
     body_bytes: int = 0
+    framing_bytes: int = 0
     has_headers: bool = False
 
 
@@ -180,6 +184,11 @@
         if self._is_refused:
             return
         self._has_completed = False
+        reading = self._incoming
+        if reading and reading.has_headers:
+            reading.framing_bytes += len(data)
+        else:
+            reading = None
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -187,6 +196,7 @@
         except httptools.HttpParserError:
             self._refuse(HTTPStatus.BAD_REQUEST)
         self._check_header_size(len(data))
+        self._check_framing(reading)
 
     def on_message_begin(self) -> None:
         """Start to collect a request."""
@@ -204,6 +214,11 @@
             incoming.headers.append((name.lower(), value))
             incoming.whole_bytes += len(name) + len(value)
 
+    def on_chunk_header(self) -> None:
+        """Leave the framing of a chunk out of account."""
+        if self._incoming:
+            self._incoming.framing_bytes -= _CHUNK_FRAMING_BYTES
+
     def on_headers_complete(self) -> None:
         """Check what the headers announce."""
         incoming = self._incoming
@@ -226,6 +241,7 @@
         if incoming is None or self._is_refused:
             return
         incoming.body_bytes += len(body)
+        incoming.framing_bytes -= len(body)
         if incoming.body_bytes > self._server.limits().max_body_bytes:
             self._refuse(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
             return
@@ -238,6 +254,9 @@
         self._has_completed = True
         if incoming is None or self._is_refused:
             return
+        if incoming.whole_bytes > self._server.limits().max_header_bytes:
+            self._refuse(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
+            return
         request = CallerRequest(
             self._parser.get_method().decode('ascii'),
             incoming.url.decode('latin-1'),
@@ -337,6 +356,24 @@
         if incoming.header_bytes > self._server.limits().max_header_bytes:
             self._refuse(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
 
+    def _check_framing(self, reading: _Incoming | None) -> None:
+        """Bound trailers, and what comes with a body and is none of it.
+
+        What short chunks leave over is not kept for later.
+
+        :param reading: the request whose body the bytes belong to; None where
+            its headers came with them, as those were counted by themselves.
+        """
+        incoming = self._incoming
+        if incoming is None:
+            return
+        is_counted = incoming is reading
+        framing_bytes = max(0, incoming.framing_bytes) if is_counted else 0
+        incoming.framing_bytes = framing_bytes
+        size_bytes = max(framing_bytes, incoming.whole_bytes)
+        if size_bytes > self._server.limits().max_header_bytes:
+            self._refuse(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
+
     def _write(self, wire: bytes) -> None:
         if self._transport and not self._transport.is_closing():
             self._transport.write(wire)
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -19,7 +19,10 @@
     header_timeout_s=0.2,
     idle_timeout_s=0.3,
 )
+# Of a body without an end; each is a fifth of the limit of headers or more.
+_PIECES = 20
 _CLOSE = b'connection: close'
+_CHUNKED = b'POST /a HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n'
 
 
 class _Server:
@@ -202,3 +205,56 @@
             await stream.send(_get(b'/one'))
             found = await _read(stream, 99, b'never')
             self.assertIn(b'200 OK', found)
+
+
+class EndlessRequestTests(unittest.IsolatedAsyncioTestCase):
+    """Chunked bodies that bring nothing, and trailers, without an end."""
+
+    async def test_framing_without_an_end(self) -> None:
+        for head, piece in (
+            (b'1;', b'x' * 4096),
+            (b'1;', b'x' * 100),
+            (b'', b'0' * 4096),
+            (b'1\r\nx\r\n0\r\n', b'x-a: b\r\n' * 500),
+            (b'0\r\nx-a: ', b'y' * 4096),
+        ):
+            with self.subTest(head=head, piece=piece[:8]):
+                self.assertIn(b' 431 ', await self._flooded(head, piece))
+
+    async def test_whole_trailers_over_the_limit(self) -> None:
+        trailers = b'0\r\n' + b'x-a: b\r\n' * 200 + b'\r\n'
+        self.assertIn(b' 431 ', await self._flooded(trailers, b''))
+
+    async def test_small_chunks_within_the_limits(self) -> None:
+        async with _connected() as (server, stream):
+            await stream.send(_CHUNKED)
+            for _ in range(90):
+                await stream.send(b'1;name=value\r\nz\r\n')
+            await stream.send(b'0\r\nx-a: b\r\n\r\n')
+            self.assertIn(b' 200 ', await _read(stream, 1, b'/a'))
+            self.assertEqual(server.requests[0].body, b'z' * 90)
+
+    async def test_next_request_on_the_connection_starts_at_nothing(
+        self,
+    ) -> None:
+        async with _connected() as (_, stream):
+            for target in (b'/one', b'/two', b'/three'):
+                request = _CHUNKED.replace(b'/a', target)
+                request += b'1;%b\r\nz\r\n' % (b'e' * 300)
+                await stream.send(request)
+                await stream.send(b'0\r\n\r\n')
+                self.assertIn(b' 200 ', await _read(stream, 1, target))
+
+    async def _flooded(self, head: bytes, piece: bytes) -> bytes:
+        """Return the answer to bytes without end in a body."""
+        async with _connected() as (server, stream):
+            await stream.send(_CHUNKED + head)
+            found = b''
+            for _ in range(_PIECES):
+                with anyio.move_on_after(0.05):
+                    found = await _read(stream, 1, b'\r\n\r\n')
+                if found:
+                    break
+                await stream.send(piece)
+            self.assertEqual(server.requests, [])
+            return found
