Take in large messages of daemons in linear time

Cause: each read copied all bytes of a frame that had come so far. A large answer from another host held the daemon's only thread: 0.59 s of processor time for 8 MiB and 8.5 s for 32 MiB, while other requests waited.

Ruled out: the length of a frame, whose limit holds.

Change: the rest is copied only after a whole frame, when it is at most one read.

--- a/src/ragwortstand/peers/frames.py
+++ b/src/ragwortstand/peers/frames.py
@@ -57,10 +57,12 @@
             end = start + _HEADER.size + size
             if len(buffer) < end:
                 break
-            body = bytes(buffer[start + _HEADER.size : end])
+            with memoryview(buffer) as view:
+                body = bytes(view[start + _HEADER.size : end])
             start = end
             self.on_frame(kind, number, body)
-        self._buffer = buffer[start:]
+        if start:
+            self._buffer = buffer[start:]
 
     def send(self, kind: FrameKind, number: int, body: bytes = b'') -> None:
         """Send a frame unless the connection is closed.
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -1,6 +1,8 @@
 """Tests of the plain links between daemons and of forwarded work."""
 
 import asyncio
+import struct
+import time
 import unittest
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
@@ -17,6 +19,7 @@
 from ragwortstand.metrics import Metrics
 from ragwortstand.models import Rank, Service
 from ragwortstand.peers.forwarding import ForwardedWork, Forwarder
+from ragwortstand.peers.frames import Frames
 from ragwortstand.peers.messages import (
     Applied,
     AskApplied,
@@ -42,6 +45,8 @@
 from tests.fakes import ListLog, member
 
 _LIMIT_BYTES = 100_000
+_MEBIBYTE = 1024 * 1024
+_READ_BYTES = 65_536
 _BOOT = 7
 # Connections to a busy test process take longer than those to a peer may.
 _CONNECT_TIMEOUT_S = 3.0
@@ -430,3 +435,45 @@
             outcome = await fixture.forward('long')
             self.assertEqual(outcome, Answered(200, (), b'body'))
             self.assertNotIn(Event.LINK_SILENT, fixture.log.events)
+
+
+class _Counting(Frames):
+    """Counts the bodies of frames."""
+
+    def __init__(self) -> None:
+        super().__init__(64 * _MEBIBYTE)
+        self.bodies: list[int] = []
+
+    def on_frame(self, kind: int, number: int, body: bytes) -> None:
+        self.bodies.append(len(body))
+
+
+class LargeFrameTests(unittest.TestCase):
+    """Cutting bytes into frames takes time by their number only."""
+
+    def test_time_grows_with_the_size_of_a_frame(self) -> None:
+        small_s = min(self._taken_s(2 * _MEBIBYTE) for _ in range(3))
+        large_s = min(self._taken_s(16 * _MEBIBYTE) for _ in range(3))
+        # Eight times as many bytes; copies of all at each read take 64 times.
+        self.assertLess(large_s, 24 * small_s)
+
+    def test_frames_across_reads(self) -> None:
+        wire = b''.join(
+            struct.pack('!IBI', size, 1, 1) + b'x' * size for size in range(40)
+        )
+        for step in (1, 7, 64, len(wire)):
+            frames = _Counting()
+            for start in range(0, len(wire), step):
+                frames.data_received(wire[start : start + step])
+            self.assertEqual(frames.bodies, list(range(40)))
+
+    def _taken_s(self, size: int) -> float:
+        """Return the processor time for a frame that comes in parts."""
+        frames = _Counting()
+        part = bytes(_READ_BYTES)
+        began_s = time.process_time()
+        frames.data_received(struct.pack('!IBI', size, 1, 1))
+        for _ in range(size // _READ_BYTES):
+            frames.data_received(part)
+        self.assertEqual(frames.bodies, [size])
+        return time.process_time() - began_s
