Answer HEAD only with the answer that is its own

Cause: the first head that came ended an exchange of HEAD. An informational answer before it was passed to the caller as the answer, and a head that names another request was not told from the right one.

Change: HEAD passes the same checks as other methods; only its end differs.

--- a/src/ragwortstand/backend_servers/clients.py
+++ b/src/ragwortstand/backend_servers/clients.py
@@ -155,12 +155,12 @@
         """End the answer to HEAD, which has no body."""
         reading = self._reading
         self._check(reading.excess())
-        if reading.is_head:
-            self._finish()
+        status = self._parser.get_status_code()
+        if reading.is_head and status >= 200:
+            self.on_message_complete()
             self.close()
             return
         names = {name for name, _ in reading.headers}
-        status = self._parser.get_status_code()
         has_body = status >= 200 and status not in _WITHOUT_BODY
         reading.is_until_end = has_body and not names & _FRAMING
 
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -1,6 +1,7 @@
 """Tests of the HTTP clients of backend servers, over loopback."""
 
 import unittest
+from dataclasses import replace
 
 from ragwortstand.backend_servers.clients import HttptoolsConnection
 from ragwortstand.backend_servers.connections import (
@@ -15,6 +16,7 @@
 from tests.servers import OK, answering, running_server
 
 _LIMIT_BYTES = 1000
+_EARLY = b'HTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\n'
 _CLIENTS = (HttptoolsConnection, HttpcoreConnection)
 
 
@@ -84,6 +86,28 @@
                 self.assertEqual(answered.body, b'')
                 connection.close()
 
+    async def test_informational_answer_is_none_to_head(self) -> None:
+        """The answer to HEAD comes after those that only inform."""
+        wire = _EARLY + OK.removesuffix(b'body')
+        for client in _CLIENTS:
+            async with running_server(answering(wire)) as endpoint:
+                connection = await client.connect(endpoint, _LIMIT_BYTES)
+                answered = await connection.exchange(_request('HEAD'))
+                self.assertEqual(answered.status, 200)
+                self.assertEqual(answered.headers, ((b'x-a', b'b'),))
+                connection.close()
+
+    async def test_answer_to_another_request_is_none_to_head(self) -> None:
+        """HEAD gets no head that names another request."""
+        request = replace(_request('HEAD'), echo=(b'x-a', b'own'))
+        wire = OK.removesuffix(b'body')
+        async with running_server(answering(wire)) as endpoint:
+            connect = HttptoolsConnection.connect
+            connection = await connect(endpoint, _LIMIT_BYTES)
+            with self.assertRaises(BackendServerError) as caught:
+                await connection.exchange(request)
+            self.assertIs(caught.exception.verdict, Verdict.MAY_HAVE_RUN)
+
 
 class ConnectionPoolTest(unittest.IsolatedAsyncioTestCase):
     """The pool reuses fresh connections and never exceeds its limit."""
