Treat a switch of protocols as a malformed answer

Cause: the parser tells a switch by an error of its own kind, which left the connection's callback and was printed to standard error by the event loop. The outcome was a lost connection, as it is now.

Measured: the new test found the error at the event loop before, none after.

--- a/src/ragwortstand/backend_servers/clients.py
+++ b/src/ragwortstand/backend_servers/clients.py
@@ -22,6 +22,7 @@
 from ragwortstand.verdicts import Answered, Verdict
 
 CONNECT_TIMEOUT_S = 1.0
+_MALFORMED = (httptools.HttpParserError, httptools.HttpParserUpgrade)
 # Headers that tell where the body of an answer ends.
 _FRAMING = frozenset((b'content-length', b'transfer-encoding'))
 # Statuses whose answers have no body (RFC 9110, section 6.4.1).
@@ -135,7 +136,7 @@
         self._reading.add_bytes(len(data))
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserError as error:
+        except _MALFORMED as error:
             self._fail(f'malformed answer: {error}')
             self.close()
             return
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -1,5 +1,6 @@
 """Tests of the HTTP clients of backend servers, over loopback."""
 
+import asyncio
 import unittest
 from dataclasses import replace
 
@@ -16,6 +17,10 @@
 from tests.servers import OK, answering, running_server
 
 _LIMIT_BYTES = 1000
+_SWITCH = (
+    b'HTTP/1.1 101 Switching Protocols\r\n'
+    b'connection: upgrade\r\nupgrade: x\r\n\r\nabc'
+)
 _EARLY = b'HTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\n'
 _CLIENTS = (HttptoolsConnection, HttpcoreConnection)
 
@@ -108,6 +113,19 @@
                 await connection.exchange(request)
             self.assertIs(caught.exception.verdict, Verdict.MAY_HAVE_RUN)
 
+    async def test_other_protocol_is_an_error(self) -> None:
+        """A switch that nobody asked for ends the exchange, in order."""
+        problems: list[object] = []
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _, told: problems.append(told))
+        async with running_server(answering(_SWITCH)) as endpoint:
+            connect = HttptoolsConnection.connect
+            connection = await connect(endpoint, _LIMIT_BYTES)
+            verdict = await self._failure(connection)
+            self.assertIs(verdict, Verdict.MAY_HAVE_RUN)
+            self.assertFalse(connection.is_reusable)
+        self.assertEqual(problems, [])
+
 
 class ConnectionPoolTest(unittest.IsolatedAsyncioTestCase):
     """The pool reuses fresh connections and never exceeds its limit."""
