--- a/src/ragwortstand/backend_servers/clients.py
+++ b/src/ragwortstand/backend_servers/clients.py
@@ -22,6 +22,7 @@
 from ragwortstand.verdicts import Answered, Verdict
 
 CONNECT_TIMEOUT_S = 1.0
+_MALFORMED = (httptools.HttpParserError, httptools.HttpParserUpgrade)
 # Headers that tell where the body of an answer ends.
 _FRAMING = frozenset((b'content-length', b'transfer-encoding'))
 # Statuses whose answers have no body (RFC 9110, section 6.4.1).
@@ -102,8 +103,7 @@
             self.close()
             raise
         finally:
-            self._answer = None
-            self._memory.release(self)
+            self._forget()
 
     def close(self) -> None:
         """Close the connection at once."""
@@ -136,7 +136,7 @@
         self._reading.add_bytes(len(data))
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserError as error:
+        except _MALFORMED as error:
             self._fail(f'malformed answer: {error}')
             self.close()
             return
@@ -156,12 +156,12 @@
         """End the answer to HEAD, which has no body."""
         reading = self._reading
         self._check(reading.excess())
-        if reading.is_head:
-            self._finish()
+        status = self._parser.get_status_code()
+        if reading.is_head and status >= 200:
+            self.on_message_complete()
             self.close()
             return
         names = {name for name, _ in reading.headers}
-        status = self._parser.get_status_code()
         has_body = status >= 200 and status not in _WITHOUT_BODY
         reading.is_until_end = has_body and not names & _FRAMING
 
@@ -207,6 +207,12 @@
             self._reading.is_head = request.method == 'HEAD'
             self._reading.echo = request.echo
 
+    def _forget(self) -> None:
+        """Keep nothing of an exchange that has ended."""
+        self._answer = None
+        self._memory.release(self)
+        self._reading.begin()
+
     def _check(self, excess: BackendServerError | None) -> None:
         """End an exchange that reads more than is allowed."""
         if excess and not self._is_answered:
@@ -220,7 +226,7 @@
         answered = Answered(
             self._parser.get_status_code(),
             end_to_end(tuple(reading.headers)),
-            b''.join(reading.parts),
+            bytes(reading.body),
         )
         self._answer.set_result(answered)
         if reading.is_doubtful or not self._parser.should_keep_alive():
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import socket
+import tracemalloc
 import unittest
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -9,7 +10,11 @@
 import anyio
 from anyio.abc import SocketStream
 
-from ragwortstand.http_server import CallerRequest, HttpServer
+from ragwortstand.http_server import (
+    CallerConnection,
+    CallerRequest,
+    HttpServer,
+)
 from ragwortstand.models import CallerLimits
 from ragwortstand.verdicts import Answered
 from tests.fakes import ListLog
@@ -21,9 +26,13 @@
     header_timeout_s=0.2,
     idle_timeout_s=0.3,
 )
+# Of a body without an end; each is a fifth of the limit of headers or more.
+_PIECES = 20
+_BODY_LIMIT_BYTES = 64 * 1024
 _CLOSE = b'connection: close'
 # More than the buffers of a connection hold.
 _LARGE_BYTES = 8 * 1024 * 1024
+_CHUNKED = b'POST /a HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n'
 
 
 class _Server:
@@ -280,3 +289,80 @@
             await stream.send(_get(b'/one'))
             found = await _read(stream, 99, b'never')
             self.assertIn(b'200 OK', found)
+
+
+class EndlessRequestTests(unittest.IsolatedAsyncioTestCase):
+    """Chunked bodies that bring nothing, and trailers, without an end."""
+
+    async def test_framing_without_an_end(self) -> None:
+        for head, piece in (
+            (b'1;', b'x' * 4096),
+            (b'1;', b'x' * 100),
+            (b'', b'0' * 4096),
+            (b'1\r\nx\r\n0\r\n', b'x-a: b\r\n' * 500),
+            (b'0\r\nx-a: ', b'y' * 4096),
+        ):
+            with self.subTest(head=head, piece=piece[:8]):
+                self.assertIn(b' 431 ', await self._flooded(head, piece))
+
+    async def test_whole_trailers_over_the_limit(self) -> None:
+        trailers = b'0\r\n' + b'x-a: b\r\n' * 200 + b'\r\n'
+        self.assertIn(b' 431 ', await self._flooded(trailers, b''))
+
+    async def test_small_chunks_within_the_limits(self) -> None:
+        async with _connected() as (server, stream):
+            await stream.send(_CHUNKED)
+            for _ in range(90):
+                await stream.send(b'1;name=value\r\nz\r\n')
+            await stream.send(b'0\r\nx-a: b\r\n\r\n')
+            self.assertIn(b' 200 ', await _read(stream, 1, b'/a'))
+            self.assertEqual(server.requests[0].body, b'z' * 90)
+
+    async def test_next_request_on_the_connection_starts_at_nothing(
+        self,
+    ) -> None:
+        async with _connected() as (_, stream):
+            for target in (b'/one', b'/two', b'/three'):
+                request = _CHUNKED.replace(b'/a', target)
+                request += b'1;%b\r\nz\r\n' % (b'e' * 300)
+                await stream.send(request)
+                await stream.send(b'0\r\n\r\n')
+                self.assertIn(b' 200 ', await _read(stream, 1, target))
+
+    async def _flooded(self, head: bytes, piece: bytes) -> bytes:
+        """Return the answer to bytes without end in a body."""
+        async with _connected() as (server, stream):
+            await stream.send(_CHUNKED + head)
+            found = b''
+            for _ in range(_PIECES):
+                with anyio.move_on_after(0.05):
+                    found = await _read(stream, 1, b'\r\n\r\n')
+                if found:
+                    break
+                await stream.send(piece)
+            self.assertEqual(server.requests, [])
+            return found
+
+
+class SmallPartsTests(unittest.IsolatedAsyncioTestCase):
+    """A body takes the room of its bytes, however small its parts are."""
+
+    async def test_body_in_parts_of_two_bytes(self) -> None:
+        limits = CallerLimits(max_body_bytes=_BODY_LIMIT_BYTES)
+        connection = CallerConnection(
+            HttpServer(_refused, lambda: limits, ListLog())
+        )
+        connection.data_received(_CHUNKED)
+        tracemalloc.start()
+        try:
+            for number in range(_BODY_LIMIT_BYTES // 2):
+                part = number.to_bytes(3, 'big')[1:]
+                connection.data_received(b'2\r\n%b\r\n' % part)
+            held_bytes, _ = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+        self.assertLess(held_bytes, 2 * _BODY_LIMIT_BYTES)
+
+
+async def _refused(request: CallerRequest) -> Answered:
+    raise AssertionError(request.target)
