Forget the beat of a lost link, and dial again for work a peer may have

A link that was lost while a beat was awaited was reported as silent and reset half a second later, and work for a peer that had come back was refused for a moment. A request over a link that was lost while it was dialled waited for its whole time. Work that a peer may have was not asked for within 0.3 s after a failed dial, as new work is not sent then: the second of two copies never left.

--- a/src/ragwortstand/peers/streams.py
+++ b/src/ragwortstand/peers/streams.py
@@ -29,7 +29,8 @@
 #: lost first packet is repeated after 1 s only, which no request waits for.
 CONNECT_TIMEOUT_S = 0.25
 # A peer that does not accept is not dialled again for this long, so that
-# requests are refused at once and go elsewhere.
+# requests are refused at once and go elsewhere. Work that it may have is asked
+# for at once.
 _REDIAL_PAUSE_S = 0.3
 # Time that a request has waited after which a beat asks for a sign of life; the
 # peer answers it at once, whatever its backend server does.
@@ -62,6 +63,8 @@
         self._beat_at_s: float | None = None
 
     async def ask(self, wire: bytes, timeout_s: float) -> bytes:
+        if self.is_lost:
+            raise PeerError('link lost', Verdict.NOT_RUN)
         self._number += 1
         number = self._number
         loop = asyncio.get_running_loop()
@@ -92,6 +95,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.is_lost = True
+        self._beat_at_s = None
         error = PeerError(f'link lost: {exc}', Verdict.MAY_HAVE_RUN)
         for waiting in self.waiting.values():
             if not waiting.reply.done():
@@ -105,7 +109,7 @@
 
         :param now_s: present time.
         """
-        if self._beat_at_s is not None or not self.waiting:
+        if self.is_lost or self._beat_at_s is not None or not self.waiting:
             return
         oldest = next(iter(self.waiting.values()))
         if now_s - oldest.asked_at_s >= _BEAT_AFTER_S:
@@ -164,6 +168,11 @@
         :raises PeerError: when there is no usable reply in time. Work is not
             sent over a link that is silent.
         """
+        is_resent = isinstance(request, Work) and request.is_resent
+        if not is_resent and clock.now_s() < self._refused_until_s.get(
+            address, 0
+        ):
+            raise PeerError('peer did not accept', Verdict.NOT_RUN)
         link = await self._link(
             address, min(timeout_s, self._connect_timeout_s)
         )
@@ -211,9 +220,6 @@
             link = self._dialled.get(address)
             if link and not link.is_lost:
                 return link
-            now_s = clock.now_s()
-            if now_s < self._refused_until_s.get(address, 0):
-                raise PeerError('peer did not accept', Verdict.NOT_RUN)
             try:
                 link = await self._dial(address, timeout_s)
             except OSError as error:
