Keep outcomes as long as they may be asked for

Since work that may not be repeated is asked for until its deadline, an outcome that is forgotten 5 s after its run could run twice: budgets are up to 8 s. It is now kept until the deadline of the work.

--- a/src/ragwortstand/peers/forwarding.py
+++ b/src/ragwortstand/peers/forwarding.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import contextlib
-from collections import deque
+import heapq
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Protocol
@@ -35,19 +35,19 @@
 
 _ANSWER_GRACE_S = 0.05
 _CANCEL_TIMEOUT_S = 1.0
-# Copies of idempotent work beyond the first, each over a link of its own; then
-# another backend server is the quicker way to an answer. Other work has no
-# other way, and is asked for until its deadline.
+# Copies of work beyond the first, each over a link of its own, where another
+# backend server may be tried and is the quicker way then. Work that has no
+# other way to an answer is asked for until its deadline.
 _MAX_RESENDS = 2
 # Pause before a copy when a link could not be opened.
 _RESEND_PAUSE_S = 0.1
 # Less time than this is not enough for a new link and an answer.
 _MIN_RESEND_S = 0.02
-# How long idempotent work goes on without a link, so that its sender can ask
-# again. Below the half second in which work must end after its caller has gone.
-# Other work goes on to its end, as it may not be run again.
+# How long work goes on without a link, so that its sender can ask again. Below
+# the half second in which work must end after its caller has gone.
 _REATTACH_S = 0.4
-# Outcomes are kept longer than a sender tries to get them again.
+# Outcomes are kept this long, and until the deadline of work that its sender
+# may ask for until then.
 _KEEP_OUTCOME_S = 5.0
 
 
@@ -151,7 +151,9 @@
     """Forwarded work; later copies of the same work share it."""
 
     result: 'asyncio.Task[WorkDone]'
+    call: Call
     waiters: int = 0
+    is_orphaned: bool = False
     scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
 
 
@@ -184,8 +186,8 @@
         self._log = log or NullLog()
         # By request, then by attempt.
         self._runs: dict[RequestId, dict[int, _Run]] = {}
-        # Requests by the end of a run of theirs, the earliest first.
-        self._ended: deque[tuple[float, RequestId, int]] = deque()
+        # Runs that have ended, by the time until which they are kept.
+        self._ended: list[tuple[float, RequestId, int]] = []
         self._in_flight = 0
 
     @property
@@ -207,7 +209,7 @@
             return await asyncio.shield(run.result)
         finally:
             run.waiters -= 1
-            _cancel_later_if_orphaned(run, work)
+            _cancel_later_if_orphaned(run)
 
     def cancel(self, request: CancelWork) -> Done:
         """Cancel a request whose caller has gone."""
@@ -217,26 +219,31 @@
 
     def _begin(self, work: Work) -> _Run:
         self._forget(clock.now_s())
+        call = self._call(work)
         scope = anyio.CancelScope()
         task = asyncio.get_running_loop().create_task(
-            self._execute(work, scope)
+            self._execute(call, scope)
         )
-        run = _Run(task, scope=scope)
+        run = _Run(task, call, scope=scope)
         self._in_flight += 1
-        task.add_done_callback(lambda _: self._end(work))
+        task.add_done_callback(lambda _: self._end(call))
         self._runs.setdefault(work.request_id, {})[work.attempt] = run
         return run
 
-    def _end(self, work: Work) -> None:
+    def _end(self, call: Call) -> None:
         self._in_flight -= 1
-        self._ended.append((clock.now_s(), work.request_id, work.attempt))
+        kept_until_s = clock.now_s() + _KEEP_OUTCOME_S
+        if not call.is_idempotent:
+            kept_until_s = max(kept_until_s, call.deadline_s + _ANSWER_GRACE_S)
+        heapq.heappush(
+            self._ended, (kept_until_s, call.request_id, call.attempt)
+        )
 
     async def _execute(
         self,
-        work: Work,
+        call: Call,
         scope: anyio.CancelScope,
     ) -> WorkDone:
-        call = self._call(work)
         outcome: Outcome = Refused(Cause.CALLER_GONE)
         try:
             with scope:
@@ -252,14 +259,21 @@
                 request=call.request_id,
                 problem=repr(error),
             )
-        if scope.cancelled_caught and call.is_dispatched:
-            outcome = Unknown(Cause.CALLER_GONE)
+        if scope.cancelled_caught:
+            outcome = self._outcome_of_cancelled(call)
         return work_done(outcome, self._load(clock.now_s()).busy)
 
+    def _outcome_of_cancelled(self, call: Call) -> Outcome:
+        """Return what a sender is told that asks after all."""
+        run = self._runs.get(call.request_id, {}).get(call.attempt)
+        is_orphaned = run is not None and run.is_orphaned
+        cause = Cause.PEER_UNREACHABLE if is_orphaned else Cause.CALLER_GONE
+        return Unknown(cause) if call.is_dispatched else Refused(cause)
+
     def _forget(self, now_s: float) -> None:
         """Drop old outcomes; nobody asks for them any more."""
-        while self._ended and now_s - self._ended[0][0] > _KEEP_OUTCOME_S:
-            _, request_id, attempt = self._ended.popleft()
+        while self._ended and now_s > self._ended[0][0]:
+            _, request_id, attempt = heapq.heappop(self._ended)
             runs = self._runs[request_id]
             runs.pop(attempt)
             if not runs:
@@ -287,16 +301,20 @@
         )
 
 
-def _cancel_later_if_orphaned(run: _Run, work: Work) -> None:
-    if run.waiters or run.result.done() or not work.is_idempotent:
-        return
-    loop = asyncio.get_running_loop()
-    loop.call_later(_REATTACH_S, _abandon, run)
+def _cancel_later_if_orphaned(run: _Run) -> None:
+    if not run.waiters and not run.result.done():
+        loop = asyncio.get_running_loop()
+        loop.call_later(_REATTACH_S, _abandon, run)
 
 
 def _abandon(run: _Run) -> None:
-    """Cancel work that nobody has asked for again in time."""
-    if not run.waiters:
+    """Cancel work that nobody has asked for again in time.
+
+    What has begun and may not be repeated goes on.
+    """
+    may_end = run.call.is_idempotent or not run.call.is_dispatched
+    if may_end and not run.waiters:
+        run.is_orphaned = True
         run.scope.cancel()
 
 
@@ -336,14 +354,21 @@
         return False
     if isinstance(error, PeerGoneError):
         return False
-    if call.is_idempotent and resends >= _MAX_RESENDS:
+    if _may_go_elsewhere(call) and resends >= _MAX_RESENDS:
         return False
     return call.remaining_s(clock.now_s()) > _MIN_RESEND_S
 
 
+def _may_go_elsewhere(call: Call) -> bool:
+    is_last = call.max_attempts is not None and (
+        call.sends + 1 >= call.max_attempts
+    )
+    return call.is_idempotent and not is_last
+
+
 def _outcome_of_error(error: PeerError, call: Call, resends: int) -> Outcome:
     if error.verdict is Verdict.NOT_RUN and not resends:
         return Refused(Cause.PEER_UNREACHABLE)
-    if call.remaining_s(clock.now_s()) <= 0:
+    if call.remaining_s(clock.now_s()) <= _MIN_RESEND_S:
         return Unknown(Cause.DEADLINE)
     return Unknown(Cause.PEER_UNREACHABLE)
