Count a home that restarted without its backend server yet

Cause, from logs and journals: host 3 ran the filing from memory and was killed before it told the caller's daemon. Restarted, it stood in the lists without a service until it found its backend server 0.6 s later; host 6, next in order, then took itself for the only home that the key had had, found no claim and ran the repetition. The list held only what members offer now.

Change: a member's entry remembers until when it offered a service; those that did within the window count as possible homes. Ruled out: to count every host whatever it offers, which would leave most keys without an only home.

The new test failed before.

--- a/src/ragwortstand/peers/homes.py
+++ b/src/ragwortstand/peers/homes.py
@@ -110,7 +110,7 @@
         :param key: the idempotency key.
         :param now_s: present time.
         """
-        if not self._is_first(service, key):
+        if not self._is_first(service, key, now_s):
             return False
         since_s = self._ready_since_s
         return since_s is not None and now_s - since_s >= self._window_s
@@ -135,7 +135,7 @@
         if outage_s is None or outage_s > self._window_s:
             return False
         remembers = self._remembers_outage(now_s)
-        return not (remembers and self._is_first(service, key))
+        return not (remembers and self._is_first(service, key, now_s))
 
     def outage_age_s(self, now_s: float) -> float | None:
         """Return how long ago the store failed anybody, None for never.
@@ -176,12 +176,13 @@
             return False
         return since_s <= max(self._outage.began_s, now_s - self._window_s)
 
-    def _is_first(self, service: ServiceName, key: str) -> bool:
-        """Return whether this daemon leads among present and departed."""
-        hosts = [
-            member.host
-            for member in self._members.all()
-            if member.service == service
-        ]
+    def _is_first(self, service: ServiceName, key: str, now_s: float) -> bool:
+        """Return whether this daemon leads among present and departed.
+
+        A daemon that restarts offers nothing until its backend server is
+        found again, but may have been home just before.
+        """
+        since_s = now_s - self._window_s
+        hosts = self._members.hosts_since(service, since_s)
         order = ranked(f'{service}/{key}', hosts)
         return bool(order) and order[0] == self._members.own.host
--- a/src/ragwortstand/peers/members.py
+++ b/src/ragwortstand/peers/members.py
@@ -2,7 +2,7 @@
 
 from collections import Counter
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import xxhash
 from msgspec.structs import replace
@@ -21,8 +21,26 @@
 
 @dataclass(slots=True)
 class _Entry:
+    """A member, and until when it offered services that it no longer does."""
+
     member: Member
     changed_at_s: float
+    offered_until_s: dict[ServiceName, float] = field(default_factory=dict)
+
+    def replace(self, member: Member, now_s: float | None) -> None:
+        """Take over a newer state of the member."""
+        service = self.member.service
+        self.changed_at_s = now_s or self.changed_at_s
+        if service and service != member.service:
+            self.offered_until_s[service] = self.changed_at_s
+        self.member = member
+
+    def has_offered(self, service: ServiceName, since_s: float) -> bool:
+        """Return whether the member offered a service at or after a time."""
+        if self.member.service == service:
+            return True
+        until_s = self.offered_until_s.get(service)
+        return until_s is not None and until_s >= since_s
 
 
 class Members:
@@ -94,9 +112,21 @@
     def offering(self, service: ServiceName) -> tuple[Member, ...]:
         """Return the members whose backend server offers a service."""
         if self._candidates is None:
-            self._candidates = self._by_service()
+            self._candidates = _by_service(self.usable())
         return self._candidates.get(service, ())
 
+    def hosts_since(self, service: ServiceName, since_s: float) -> list[HostId]:
+        """Return hosts, departed ones too, that offered a service lately.
+
+        :param service: the service.
+        :param since_s: time since when one offered it.
+        """
+        return [
+            host
+            for host, entry in self._entries.items()
+            if entry.has_offered(service, since_s)
+        ]
+
     def states(self) -> Counter[MemberState]:
         """Return the number of members in each state."""
         return Counter(member.state for member in self.all())
@@ -206,13 +236,6 @@
             if zone in {None, member.zone} and region in {None, member.region}
         ]
 
-    def _by_service(self) -> dict[ServiceName, tuple[Member, ...]]:
-        found: dict[ServiceName, list[Member]] = {}
-        for member in self.usable():
-            if member.service and member.is_ready:
-                found.setdefault(member.service, []).append(member)
-        return {name: tuple(members) for name, members in found.items()}
-
     def _is_news(self, member: Member) -> bool:
         known = self.get(member.host)
         if known is None:
@@ -248,8 +271,7 @@
         if entry is None:
             self._entries[member.host] = _Entry(member, now_s or 0.0)
         else:
-            entry.member = member
-            entry.changed_at_s = now_s or entry.changed_at_s
+            entry.replace(member, now_s)
         self._news[member.host] = 0
         self._candidates = None
         self._orders.clear()
@@ -263,6 +285,16 @@
         self._orders.clear()
 
 
+def _by_service(
+    members: Iterable[Member],
+) -> dict[ServiceName, tuple[Member, ...]]:
+    found: dict[ServiceName, list[Member]] = {}
+    for member in members:
+        if member.service and member.is_ready:
+            found.setdefault(member.service, []).append(member)
+    return {name: tuple(offering) for name, offering in found.items()}
+
+
 def _fingerprint(member: Member) -> int:
     """Return the part of a member in the digest of a list.
 
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -181,6 +181,23 @@
         self.members.merge([dead], 70)
         self.assertFalse(self.homes.is_only_home(_CONSULT, key, 200))
 
+    def test_heir_of_a_restarting_home_is_not_the_only_one(self) -> None:
+        """A home that is back without its backend server may have run keys."""
+        home = self.homes.home
+        key = next(
+            key
+            for key in _KEYS
+            if home(_CONSULT, key) == member('h1')
+            and home(_CONSULT, key, [HostId('h1')]) == self.members.own
+        )
+        back = member('h1', incarnation=2, service=None)
+        self.members.merge([back], 70)
+        self.assertEqual(home(_CONSULT, key), self.members.own)
+        self.assertFalse(self.homes.is_only_home(_CONSULT, key, 71))
+        self.homes.note_outage(69)
+        self.assertTrue(self.homes.is_in_doubt(_CONSULT, key, 71))
+        self.assertTrue(self.homes.is_only_home(_CONSULT, key, 131))
+
     def test_doubt_after_an_outage(self) -> None:
         """An heir doubts keys while the dead home may have run them."""
         key = self._key_of('h1')
