Count what is read with fewer calls

Headers are counted one by one only where all that was read is over the limit, and the shared memory is told once a read and not at all of answers that come in one.

--- a/src/ragwortstand/backend_servers/clients.py
+++ b/src/ragwortstand/backend_servers/clients.py
@@ -130,32 +130,34 @@
 
         Such bytes may be an answer to an earlier request.
         """
-        if self._is_answered:
+        answer = self._answer
+        if answer is None or answer.done():
             self.close()
             return
-        self._reading.add_bytes(len(data))
+        self._reading.other_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except _MALFORMED as error:
             self._fail(f'malformed answer: {error}')
             self.close()
             return
-        self._check(self._reading.incoming_excess())
+        if not answer.done():
+            self._check(self._reading.incoming_excess())
+            self._memory.hold(self, len(self._reading.body))
 
     def on_message_begin(self) -> None:
         """Start an answer; one too many ends the connection."""
         self._reading.begin()
-        if self._is_answered:
+        if self._answer is None or self._answer.done():
             self.close()
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect a header."""
-        self._reading.add_header(name, value)
+        self._reading.headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
         """End the answer to HEAD, which has no body."""
         reading = self._reading
-        self._check(reading.excess())
         status = self._parser.get_status_code()
         if reading.is_head and status >= 200:
             self.on_message_complete()
@@ -171,10 +173,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Collect a part of the body."""
-        if self._is_answered:
-            return
         self._reading.add_part(body)
-        self._memory.hold(self, len(body))
 
     def drop(self) -> None:
         """Give up an answer that takes too much room beside the others."""
@@ -196,10 +195,6 @@
             return
         self._finish()
 
-    @property
-    def _is_answered(self) -> bool:
-        return self._answer is None or self._answer.done()
-
     def _reset(self, request: WireRequest | None) -> None:
         self._parser = httptools.HttpResponseParser(self)
         self._reading = Reading(self._max_answer_bytes)
@@ -215,7 +210,7 @@
 
     def _check(self, excess: BackendServerError | None) -> None:
         """End an exchange that reads more than is allowed."""
-        if excess and not self._is_answered:
+        if excess:
             self._end(excess)
             self.close()
 
--- a/src/ragwortstand/backend_servers/memory.py
+++ b/src/ragwortstand/backend_servers/memory.py
@@ -26,14 +26,14 @@
         self.total_bytes = 0
 
     def hold(self, holder: Holder, size_bytes: int) -> None:
-        """Count a part.
+        """Count what a connection holds.
 
-        :param holder: the connection that it came from.
-        :param size_bytes: its size.
+        :param holder: the connection.
+        :param size_bytes: all parts of its answer.
         """
         held_bytes = self._held_bytes
-        held_bytes[holder] = held_bytes.get(holder, 0) + size_bytes
-        self.total_bytes += size_bytes
+        self.total_bytes += size_bytes - held_bytes.get(holder, 0)
+        held_bytes[holder] = size_bytes
         if self.total_bytes > self._max_bytes:
             largest = max(held_bytes, key=held_bytes.__getitem__)
             self.release(largest)
--- a/src/ragwortstand/backend_servers/reading.py
+++ b/src/ragwortstand/backend_servers/reading.py
@@ -31,6 +31,8 @@
     :param body: what has come of its body.
     :param is_until_end: whether its body ends with the connection.
     :param is_doubtful: whether an answer to another request has come.
+    :param other_bytes: what has come from the connection and is neither body
+        nor the framing of a short chunk.
     """
 
     max_body_bytes: int
@@ -40,52 +42,51 @@
     body: bytearray = field(default_factory=bytearray)
     is_until_end: bool = False
     is_doubtful: bool = False
-    _other_bytes: int = 0
-    _header_bytes: int = 0
+    other_bytes: int = 0
     _body_bytes: int = 0
 
     def begin(self) -> None:
         """Start an answer."""
-        self.headers = []
-        self.body = bytearray()
-
-    def add_bytes(self, size_bytes: int) -> None:
-        """Count bytes as they come from the connection."""
-        self._other_bytes += size_bytes
-
-    def add_header(self, name: bytes, text: bytes) -> None:
-        """Collect a header or trailer."""
-        self._header_bytes += len(name) + len(text) + _HEADER_FRAMING_BYTES
-        if self._header_bytes <= MAX_HEAD_BYTES:
-            self.headers.append((name.lower(), text))
+        if self.headers:
+            self.headers = []
+        if self.body:
+            self.body = bytearray()
 
     def add_chunk(self) -> None:
         """Leave the framing of a chunk out of account."""
-        self._other_bytes -= _CHUNK_FRAMING_BYTES
+        self.other_bytes -= _CHUNK_FRAMING_BYTES
 
     def add_part(self, part: bytes) -> None:
         """Collect a part of the body."""
         self._body_bytes += len(part)
-        self._other_bytes -= len(part)
+        self.other_bytes -= len(part)
         if self._body_bytes <= self.max_body_bytes:
             self.body += part
 
     def excess(self) -> BackendServerError | None:
-        """Return the error when headers or bodies are over their limit."""
+        """Return the error when the answer that is whole is over a limit.
+
+        Bytes that came with it may belong to what follows, so that headers
+        are counted one by one.
+        """
         if self._body_bytes > self.max_body_bytes:
             return AnswerTooLargeError()
-        if self._header_bytes > MAX_HEAD_BYTES:
-            return EndlessAnswerError()
-        return None
+        if self.other_bytes <= MAX_HEAD_BYTES:
+            return None
+        header_bytes = sum(
+            len(name) + len(text) + _HEADER_FRAMING_BYTES
+            for name, text in self.headers
+        )
+        return EndlessAnswerError() if header_bytes > MAX_HEAD_BYTES else None
 
     def incoming_excess(self) -> BackendServerError | None:
         """Return the error when an answer that goes on is over a limit.
 
-        Parts of a head, and bytes that are neither header nor body, show only
-        in what came from the connection. What short chunks leave over is not
-        kept for later.
+        What short chunks leave over of their framing is not kept for later.
         """
-        self._other_bytes = max(0, self._other_bytes)
-        if self._other_bytes > MAX_HEAD_BYTES:
-            return self.excess() or EndlessAnswerError()
-        return self.excess()
+        self.other_bytes = max(0, self.other_bytes)
+        if self._body_bytes > self.max_body_bytes:
+            return AnswerTooLargeError()
+        if self.other_bytes > MAX_HEAD_BYTES:
+            return EndlessAnswerError()
+        return None
