Take the limit of stored answers from the size of a configuration

Cause: 32 MiB stood for rows that nobody reads together: only entry points and enrolled hosts are, and the largest object is a configuration. Under uvloop two attempts read more than the test of endless bodies allows (53 to 62 MB of 33.5 allowed, four cases); on the slower loop the time limit came first.

--- a/src/ragwortstand/storage/client.py
+++ b/src/ragwortstand/storage/client.py
@@ -13,6 +13,7 @@
 from ragwortstand.events import Event, EventLog
 from ragwortstand.exceptions import AnswerTooLargeError, PlatformError
 from ragwortstand.metrics import Metrics
+from ragwortstand.models import MAX_CONFIGURATION_BYTES
 from ragwortstand.settings import PlatformSettings
 from ragwortstand.storage.table import (
     Row,
@@ -25,8 +26,8 @@
 _MAX_CONNECTIONS = 4
 # Connecting takes the time limit at most, and so does the answer.
 _STEPS = 2
-# The largest configuration, or a thousand rows.
-_MAX_ANSWER_BYTES = 32 * 1024 * 1024
+# Configurations are the largest objects; rows that are read together are small.
+_MAX_ANSWER_BYTES = 2 * MAX_CONFIGURATION_BYTES
 _NO_CONNECTION = (httpcore.ConnectError, httpcore.ConnectTimeout)
 _NO_ANSWER = (
     AnswerTooLargeError,
