--- a/src/ragwortstand/http_server.py
+++ b/src/ragwortstand/http_server.py
@@ -190,7 +190,7 @@
         self._opened_at_s = clock.now_s()
         self._idle_since_s = self._opened_at_s
         self._has_begun = False
-        self._linger_end: LingeringClose | None = None
+        self._lingering: LingeringClose | None = None
         self._is_refused = False
         self._has_completed = False
         self.exchanges: deque[_Exchange] = deque()
@@ -219,7 +219,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Feed the parser."""
-        if self._is_refused or self._linger_end:
+        if self._is_refused or self._lingering:
             return
         self._has_begun = True
         self._has_completed = False
@@ -317,7 +317,7 @@
         """
         is_busy = (
             self._incoming is not None
-            or self._linger_end is not None
+            or self._lingering is not None
             or self._is_new(now_s)
             or self.unsent_bytes > 0
         )
@@ -405,10 +405,10 @@
         What comes in from now on was sent behind an answer that ends the
         connection, and is discarded.
         """
-        if self._linger_end or not self._transport:
+        if self._lingering or not self._transport:
             return
         self._cancel_all(Ending.ANSWER_BEFORE)
-        self._linger_end = LingeringClose(self._transport)
+        self._lingering = LingeringClose(self._transport)
 
     def _refuse(self, status: HTTPStatus) -> None:
         """Answer a request that can't be read, after those before it."""
