Let requests that wait for a dial share its failure

Cause: since the pause after a failed dial was checked before a request waited for its turn to dial, so that requests which came together each dialled a peer out of reach in turn, 0.25 s each, instead of being refused as not run at once. Ruled out: leaving the check out of the way of asked-again work only before the lock, as that is the fault.

Change: the check is back behind the lock, and work that a peer may have passes it. Measured: the new test counts two dials for two requests before and one now; tests.test_streams and tests.test_given_up_work, 37 tests, pass.

--- a/src/ragwortstand/peers/streams.py
+++ b/src/ragwortstand/peers/streams.py
@@ -168,13 +168,10 @@
         :raises PeerError: when there is no usable reply in time. Work is not
             sent over a link that is silent.
         """
-        is_resent = isinstance(request, Work) and request.is_resent
-        if not is_resent and clock.now_s() < self._refused_until_s.get(
-            address, 0
-        ):
-            raise PeerError('peer did not accept', Verdict.NOT_RUN)
         link = await self._link(
-            address, min(timeout_s, self._connect_timeout_s)
+            address,
+            min(timeout_s, self._connect_timeout_s),
+            is_resent=isinstance(request, Work) and request.is_resent,
         )
         if isinstance(request, Work) and address in self._silent:
             raise PeerError('link is silent', Verdict.NOT_RUN)
@@ -214,12 +211,21 @@
             self._silent.discard(address)
             self._log.emit(Event.LINK_BACK, peer=address)
 
-    async def _link(self, address: PeerAddress, timeout_s: float) -> _Dialled:
+    async def _link(
+        self,
+        address: PeerAddress,
+        timeout_s: float,
+        *,
+        is_resent: bool,
+    ) -> _Dialled:
         lock = self._dialling.setdefault(address, anyio.Lock())
         async with lock:
             link = self._dialled.get(address)
             if link and not link.is_lost:
                 return link
+            refused_until_s = self._refused_until_s.get(address, 0)
+            if not is_resent and clock.now_s() < refused_until_s:
+                raise PeerError('peer did not accept', Verdict.NOT_RUN)
             try:
                 link = await self._dial(address, timeout_s)
             except OSError as error:
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -5,6 +5,7 @@
 import unittest
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
+from unittest import mock
 
 import anyio
 from msgspec.structs import replace
@@ -269,6 +270,32 @@
             fixture.links.close()
 
 
+class DialTests(unittest.IsolatedAsyncioTestCase):
+    """Requests to a peer that can't be reached."""
+
+    # Guards against requests that wait for the dials of all before them.
+    async def test_requests_that_wait_for_a_dial_share_its_failure(
+        self,
+    ) -> None:
+        dials = 0
+
+        async def dial(
+            links: StreamLinks, address: PeerAddress, timeout_s: float
+        ) -> None:
+            nonlocal dials
+            dials += 1
+            await anyio.sleep(0.1)
+            raise TimeoutError
+
+        async with _fixture() as fixture:
+            ask = fixture.links.ask(fixture.peer.address, AskApplied(), 1)
+            again = fixture.links.ask(fixture.peer.address, AskApplied(), 1)
+            with mock.patch.object(StreamLinks, '_dial', dial):
+                found = await asyncio.gather(ask, again, return_exceptions=True)
+        self.assertEqual([type(one) for one in found], [PeerError] * 2)
+        self.assertEqual(dials, 1)
+
+
 class LostLinkTests(unittest.IsolatedAsyncioTestCase):
     """Work whose link is lost."""
 
