Serve routes of kind download, and report refused versions

Cause: the decoder of the operator's row knew two kinds of routes and refused every version that has a route of a third one, so that no daemon of such a deployment ever had a configuration. The log line had neither version nor field, and no metric said that versions are being refused.

Change: `download` is decoded as idempotent. A refused row is logged with its version, the path and value of the field, and since when versions are refused; the new gauge ragwort_version_refused_since_seconds says the same. A row of an unknown kind stays refused as a whole. The unused type _Committed is gone.

Ruled out: a field of its own for downloads in our configuration. Daemons of the earlier build would refuse content with a field that they do not know, and the size of responses is learned by rank anyway.

--- a/src/ragwortstand/metrics.py
+++ b/src/ragwortstand/metrics.py
@@ -98,6 +98,11 @@
             ('cause',),
             registry=registry,
         )
+        self.version_refused_since_s = Gauge(
+            'ragwort_version_refused_since_seconds',
+            'Unix time since which accepted versions are refused; 0 if none is',
+            registry=registry,
+        )
 
         self._outcome_children: dict[tuple[str, str, str], Counter] = {}
         self._latency_children: dict[str, Histogram] = {}
--- a/src/ragwortstand/platform/configuration.py
+++ b/src/ragwortstand/platform/configuration.py
@@ -15,8 +15,9 @@
 
 _StructType = TypeVar('_StructType')
 
+# Downloads have large responses; as requests they are idempotent ones.
 _IS_IDEMPOTENT_BY_KIND = MappingProxyType(
-    {'idempotent': True, 'non_idempotent': False},
+    {'idempotent': True, 'download': True, 'non_idempotent': False},
 )
 # For routes without a time-out or a latency objective; the longest budget of
 # callers on the platform is a few seconds.
@@ -71,6 +72,10 @@
     idle_timeout_ms: float = 15_000.0
 
 
+class _VersionOnly(msgspec.Struct, frozen=True):
+    version: int
+
+
 class _Row(msgspec.Struct, frozen=True):
     version: int
     routes: _Table
@@ -159,6 +164,18 @@
     return RowDecoder().decode(content)
 
 
+def decode_version(content: bytes) -> Version | None:
+    """Return the version of a row that may be invalid in other parts.
+
+    :param content: the value of the row.
+    :returns: the version; None if it can't be decoded.
+    """
+    try:
+        return Version(msgspec.json.decode(content, type=_VersionOnly).version)
+    except msgspec.DecodeError:
+        return None
+
+
 def _decode_fields(
     columns: list[str], encoded_row: bytes, struct_type: type[_StructType]
 ) -> _StructType:
@@ -186,7 +203,11 @@
 
 def _route_document(route: _Route) -> dict[str, Any]:
     if route.kind not in _IS_IDEMPOTENT_BY_KIND:
-        raise ValueError(f'route {route.name!r} has kind {route.kind!r}')
+        known_kinds = ', '.join(sorted(_IS_IDEMPOTENT_BY_KIND))
+        problem = f'{route.kind!r} is unknown; legal are {known_kinds}'
+        raise ConfigurationError(
+            [Fault(f'$.routes[{route.name}].kind', problem)]
+        )
     targets = [
         {'service': target.service, 'weight': target.weight}
         for target in route.backends or ()
--- a/src/ragwortstand/platform/store.py
+++ b/src/ragwortstand/platform/store.py
@@ -2,6 +2,7 @@
 
 import base64
 import math
+import time
 from collections.abc import Callable
 from typing import TypeVar
 from urllib.parse import urlencode
@@ -25,7 +26,7 @@
 from ragwortstand.ids import Digest, SubmissionId, Version
 from ragwortstand.metrics import Metrics
 from ragwortstand.models import digest_of
-from ragwortstand.platform.configuration import RowDecoder
+from ragwortstand.platform.configuration import RowDecoder, decode_version
 from ragwortstand.storage import VersionRecord
 from ragwortstand.storage.table import (
     Row,
@@ -56,6 +57,8 @@
 # Fits a transaction of 1 MB in base64 with the list around it.
 _MAX_RESPONSE_BYTES = 4 * 1024 * 1024
 _IDLE_REUSE_S = 10.0
+# Length of the faults of a refused version in a log line.
+_MAX_LOGGED_PROBLEM = 500
 _HISTORY_GONE = 410
 _CONDITION_FAILED = 412
 
@@ -81,11 +84,6 @@
     has_more: bool = False
 
 
-class _Committed(msgspec.Struct, frozen=True):
-    ver: int = 0
-    rows: list[_StoreRow] = []
-
-
 class StoreClient:
     """Calls the store's HTTP API, each call with a time-out.
 
@@ -113,7 +111,7 @@
             _MAX_CONNECTIONS,
             _MAX_RESPONSE_BYTES,
         )
-        self._metrics = metrics
+        self.metrics = metrics
         self._log = log
         self.is_reachable = True
         self.fastest_call_s = math.inf
@@ -182,7 +180,7 @@
             raise self._handle_failure(problem, Verdict.MAY_HAVE_RUN) from error
         except BackendServerError as error:
             raise self._handle_failure(str(error), error.verdict) from error
-        self._metrics.platform_calls.labels(method, 'ok').inc()
+        self.metrics.platform_calls.labels(method, 'ok').inc()
         self.fastest_call_s = min(
             self.fastest_call_s, clock.now_s() - started_s
         )
@@ -204,7 +202,7 @@
         self.is_reachable = True
 
     def _handle_failure(self, problem: str, verdict: Verdict) -> PlatformError:
-        self._metrics.platform_calls.labels('any', 'failed').inc()
+        self.metrics.platform_calls.labels('any', 'failed').inc()
         if self.is_reachable:
             self._log.emit(Event.PLATFORM_OUTAGE, problem=problem)
         self.is_reachable = False
@@ -304,6 +302,7 @@
         self._last_store_version = 0
         self._skips_read = False
         self._failed_at_s = -math.inf
+        self._refused_since_unix_s = 0.0
         self.on_reach = on_reach
 
     async def head(self) -> VersionRecord | None:
@@ -402,13 +401,9 @@
         try:
             version, mesh = self._decoder.decode(row.content())
         except (ConfigurationError, ValueError) as error:
-            self._log.emit(
-                Event.VERSION_REFUSED,
-                row_version=row.ver,
-                cause='unreadable',
-                problem=str(error)[:500],
-            )
+            self._record_refusal(row, str(error), time.time())
             return
+        self._set_refused_since(0)
         if self._record and version <= self._record.version:
             return
         self._content = mesh.to_json().encode()
@@ -420,6 +415,37 @@
             accepted_unix_s=0.0,
         )
 
+    def _record_refusal(
+        self, row: _StoreRow, problem: str, now_unix_s: float
+    ) -> None:
+        """Report that the latest accepted version can't be put in force.
+
+        :param row: the row.
+        :param problem: its faults, each with its path.
+        :param now_unix_s: current time of day.
+        """
+        self._set_refused_since(self._refused_since_unix_s or now_unix_s)
+        self._client.metrics.versions_refused.labels('unreadable').inc()
+        self._log.emit(
+            Event.VERSION_REFUSED,
+            row_version=row.ver,
+            version=_version_of(row),
+            cause='unreadable',
+            problem=problem[:_MAX_LOGGED_PROBLEM],
+            since_unix_s=round(self._refused_since_unix_s, 3),
+        )
+
+    def _set_refused_since(self, since_unix_s: float) -> None:
+        self._refused_since_unix_s = since_unix_s
+        self._client.metrics.version_refused_since_s.set(since_unix_s)
+
+
+def _version_of(row: _StoreRow) -> Version | None:
+    try:
+        return decode_version(row.content())
+    except ValueError:
+        return None
+
 
 def _row_key(key: str) -> dict[str, str]:
     return {'table': TABLE, 'part': '', 'key': key}
--- a/tests/test_platform_configuration.py
+++ b/tests/test_platform_configuration.py
@@ -115,6 +115,11 @@
         self.assertEqual(route.host, 'hulo.example')
         self.assertFalse(route.is_idempotent('GET'))
 
+    def test_downloads_are_idempotent(self) -> None:
+        row = copy.deepcopy(_ROW)
+        row['routes']['rows'][1][3] = 'download'
+        self.assertTrue(_decoded(row).routes[1].is_idempotent('POST'))
+
     def test_latency_objectives_and_priorities_become_ranks(self) -> None:
         targets = [rank.target_s for rank in self.mesh.ranks]
         self.assertEqual(targets, [0.25, 0.3])
@@ -220,8 +225,11 @@
     def test_unknown_kind(self) -> None:
         row = self._changed()
         row['routes']['rows'][1][3] = 'sometimes'
-        with self.assertRaises(ConfigurationError):
+        with self.assertRaises(ConfigurationError) as raised:
             _decoded(row)
+        fault = raised.exception.faults[0]
+        self.assertEqual(fault.path, '$.routes[r-2].kind')
+        self.assertIn("'sometimes'", fault.problem)
 
     def test_route_without_a_service(self) -> None:
         row = self._changed()
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -169,6 +169,32 @@
                 self.assertEqual(record and record.version, 7)
             self.assertIn(Event.VERSION_REFUSED, fixture.log.events)
 
+    async def test_refused_versions_are_reported_until_one_is_usable(
+        self,
+    ) -> None:
+        """The log names version, field and value, the metric the first time."""
+        async with _fixture() as fixture:
+            content = row_of(8).replace(b'"non_idempotent"', b'"sometimes"')
+            fixture.store.put('op', 'config', content)
+            await fixture.versions.head()
+            line = fixture.log.lines[-1]
+            self.assertEqual(line['version'], 8)
+            self.assertIn('$.routes[r-2].kind', str(line['problem']))
+            self.assertIn("'sometimes'", str(line['problem']))
+            first = line['since_unix_s']
+            await fixture.versions.head()
+            self.assertEqual(fixture.log.lines[-1]['since_unix_s'], first)
+            self.assertNotIn(
+                b'ragwort_version_refused_since_seconds 0.0',
+                fixture.client.metrics.render(),
+            )
+            fixture.store.put('op', 'config', row_of(9))
+            await fixture.versions.head()
+            self.assertIn(
+                b'ragwort_version_refused_since_seconds 0.0',
+                fixture.client.metrics.render(),
+            )
+
     async def test_value_that_is_no_base64_is_refused(self) -> None:
         async with _fixture():
             raw = {'rows': [{'key': 'config', 'value': '%', 'ver': 3}]}
