Send large messages between daemons in pieces

Cause: a response was one frame, and the reply to a heartbeat waited behind all frames before it. On a link of 5.5 Mbit/s two responses of 540 KB, or eight of the mean size of downloads, took longer than the 0.8 s after which a link without a reply is reset: a link that was merely busy was taken for a dead one, and all its requests had an unknown outcome.

Ruled out: longer times until a link counts as dead, as these decide how long requests are held on hosts that are really cut off; passing a response on as it comes, as a response that breaks off must not look complete to the caller.

Small messages and heartbeats do not wait for them. Pieces that arrive count as a sign of life. A request that is given up is told to the peer, so that the rest of its response leaves the link. The kernel buffers at most a piece of unsent bytes. Peers of earlier builds say no HELLO and get whole frames.

--- a/src/ragwortstand/peers/frames.py
+++ b/src/ragwortstand/peers/frames.py
@@ -1,7 +1,8 @@
 """ragwortstand.peers.frames: message framing on connections between daemons.
 
 Each frame has a length, a kind, a number and a body; a reply has the number of
-its request.
+its request. Large messages are sent in pieces to peers that have said that they
+accept them; earlier builds do not.
 """
 
 import asyncio
@@ -10,44 +11,98 @@
 import struct
 from typing import cast
 
-from ragwortstand.sockets import KeepaliveSettings, enable_keepalive
+from ragwortstand.peers.pieces import (
+    PIECE_BYTES,
+    IncomingPieces,
+    MessageTooLargeError,
+    OutgoingPieces,
+)
+from ragwortstand.sockets import (
+    KeepaliveSettings,
+    enable_keepalive,
+    limit_unsent_bytes,
+)
 
 # Keepalive probes detect the failure of an unused link; sent bytes may stay
 # unacknowledged for several retransmissions between regions.
 _KEEPALIVE = KeepaliveSettings(idle_s=2, probes=2, unacknowledged_ms=2000)
 _HEADER = struct.Struct('!IBI')
+# Bytes that wait in the transport beside those that the kernel has taken. A
+# small message waits behind these, but not behind the unsent pieces.
+_WRITE_BUFFER_BYTES = PIECE_BYTES
 
 
 class FrameKind(enum.IntEnum):
-    """Kind of a frame; `BEAT` and `BEAT_REPLY` are heartbeats."""
+    """Kind of a frame.
+
+    `BEAT` and `BEAT_REPLY` are heartbeats. `HELLO` says that its sender
+    accepts the kinds below it. `PIECE` has bytes of a request or reply that
+    other frames of the same number complete. `DROP` says that its sender has
+    given up a request, so that no more of it or of its reply is sent.
+    """
 
     REQUEST = 1
     REPLY = 2
     BEAT = 3
     BEAT_REPLY = 4
+    HELLO = 5
+    PIECE = 6
+    DROP = 7
+
+
+_MESSAGE_KINDS = frozenset((FrameKind.REQUEST, FrameKind.REPLY))
 
 
 class FrameProtocol(asyncio.Protocol):
     """Splits the bytes of a connection into frames, and sends frames.
 
+    A connection sends messages of one kind only, `message_kind`, each with its
+    own number.
+
     :param max_frame_bytes: a longer frame resets the connection.
     """
 
+    message_kind = FrameKind.REQUEST
+
     def __init__(self, max_frame_bytes: int) -> None:
         """Create a protocol with an empty buffer."""
         self._max_frame_bytes = max_frame_bytes
         self._buffer = bytearray()
+        self._outgoing = OutgoingPieces()
+        self._incoming = IncomingPieces(max_frame_bytes)
+        self._is_paused = False
+        self._is_closing = False
+        self.accepts_pieces = False
         self.transport: asyncio.Transport | None = None
 
     @property
     def unsent_bytes(self) -> int:
-        """Return how many bytes are in the write buffer of the transport."""
-        return self.transport.get_write_buffer_size() if self.transport else 0
+        """Return how many bytes the kernel has not taken yet."""
+        buffered = (
+            self.transport.get_write_buffer_size() if self.transport else 0
+        )
+        return buffered + self._outgoing.unsent_bytes
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and let the kernel detect a lost peer."""
         self.transport = cast(asyncio.Transport, transport)
-        enable_keepalive(transport.get_extra_info('socket'), _KEEPALIVE)
+        self.transport.set_write_buffer_limits(high=_WRITE_BUFFER_BYTES, low=0)
+        connection = transport.get_extra_info('socket')
+        enable_keepalive(connection, _KEEPALIVE)
+        limit_unsent_bytes(connection, _WRITE_BUFFER_BYTES)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Drop the messages that are being sent."""
+        self._outgoing.clear()
+
+    def pause_writing(self) -> None:
+        """Send no more pieces until the transport can take them."""
+        self._is_paused = True
+
+    def resume_writing(self) -> None:
+        """Send the next pieces."""
+        self._is_paused = False
+        self._send_pieces()
 
     def data_received(self, data: bytes) -> None:
         """Buffer the bytes and process all complete frames."""
@@ -65,7 +120,7 @@
             with memoryview(buffer) as view:
                 body = bytes(view[start + _HEADER.size : end])
             start = end
-            self.on_frame(kind, number, body)
+            self._process_frame(kind, number, body)
         if start:
             self._buffer = buffer[start:]
 
@@ -80,20 +135,47 @@
             header = _HEADER.pack(len(body), kind, number)
             self.transport.write(header + body)
 
+    def send_message(self, number: int, body: bytes) -> None:
+        """Send a request or a reply, in pieces if it is large.
+
+        :param number: number of the request.
+        :param body: the encoded message.
+        """
+        if len(body) <= PIECE_BYTES or not self.accepts_pieces:
+            self.send(self.message_kind, number, body)
+            return
+        self._outgoing.add(number, body)
+        self._send_pieces()
+
+    def drop_message(self, number: int) -> None:
+        """Send no more of a message, and forget what was received of it.
+
+        :param number: number of the request.
+        """
+        self._outgoing.drop(number)
+        self._incoming.drop(number)
+
     def on_frame(self, kind: int, number: int, body: bytes) -> None:
         """Process a received frame; subclasses implement this."""
         raise NotImplementedError
 
+    def on_hello(self) -> None:
+        """Process that the peer accepts pieces."""
+
+    def on_piece(self, number: int) -> None:
+        """Process the receipt of a piece that does not complete a message."""
+
     def close(self) -> None:
-        """Close the connection after all buffered bytes are sent."""
-        if self.transport is not None:
-            self.transport.close()
+        """Close the connection after all messages are sent."""
+        self._is_closing = True
+        self._close_if_sent()
 
     def abort(self) -> None:
         """Reset the connection, so that buffered bytes are not delivered.
 
         A request that was given up must not arrive after the network recovers.
         """
+        self._outgoing.clear()
         transport = self.transport
         if transport is None or transport.is_closing():
             return
@@ -102,3 +184,44 @@
             linger = struct.pack('ii', 1, 0)
             connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
         transport.abort()
+
+    def _process_frame(self, kind: int, number: int, body: bytes) -> None:
+        if kind == FrameKind.HELLO:
+            self.accepts_pieces = True
+            self.on_hello()
+        elif kind == FrameKind.DROP:
+            self.drop_message(number)
+        elif kind == FrameKind.PIECE:
+            self._add_piece(number, body)
+        elif kind in _MESSAGE_KINDS:
+            self.on_frame(kind, number, self._incoming.complete(number, body))
+        else:
+            self.on_frame(kind, number, body)
+
+    def _add_piece(self, number: int, body: bytes) -> None:
+        try:
+            self._incoming.add(number, body)
+        except MessageTooLargeError:
+            # Whoever waits for the message is told that the link is lost.
+            self.abort()
+            return
+        self.on_piece(number)
+
+    def _send_pieces(self) -> None:
+        transport = self.transport
+        while transport is not None and not self._is_paused:
+            piece = self._outgoing.take()
+            if piece is None:
+                break
+            kind = self.message_kind if piece.is_last else FrameKind.PIECE
+            header = _HEADER.pack(len(piece.body), kind, piece.number)
+            transport.write(header + piece.body)
+        self._close_if_sent()
+
+    def _close_if_sent(self) -> None:
+        transport = self.transport
+        if transport is None or not self._is_closing:
+            return
+        if not self._outgoing.unsent_bytes:
+            # asyncio loses track of a transport that `resume_writing` closes.
+            asyncio.get_running_loop().call_soon(transport.close)
--- a/src/ragwortstand/peers/stream_listener.py
+++ b/src/ragwortstand/peers/stream_listener.py
@@ -28,12 +28,16 @@
 class _ServerConnection(FrameProtocol):
     """The end of a connection that receives requests."""
 
+    message_kind = FrameKind.REPLY
+
     def __init__(self, listener: 'StreamListener', handler: Handler) -> None:
         super().__init__(listener.max_message_bytes)
         self._listener = listener
         self._handler = handler
         listener.connections.add(self)
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks: dict[int, asyncio.Task[None]] = {}
+        # Requests that are given up and still run.
+        self._dropped: set[int] = set()
 
     def on_frame(self, kind: int, number: int, body: bytes) -> None:
         if kind == FrameKind.BEAT:
@@ -41,17 +45,31 @@
         elif kind == FrameKind.REQUEST:
             loop = asyncio.get_running_loop()
             task = loop.create_task(self._reply(number, body))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            self._tasks[number] = task
+            task.add_done_callback(lambda _: self._forget(number))
+
+    def drop_message(self, number: int) -> None:
+        super().drop_message(number)
+        if number in self._tasks:
+            self._dropped.add(number)
+
+    def on_hello(self) -> None:
+        self.send(FrameKind.HELLO, 0)
 
     def connection_lost(self, exc: Exception | None) -> None:
+        super().connection_lost(exc)
         self._listener.connections.discard(self)
-        for task in self._tasks:
+        for task in tuple(self._tasks.values()):
             task.cancel()
 
     async def _reply(self, number: int, body: bytes) -> None:
         reply = await self._listener.reply_to(body, self._handler)
-        self.send(FrameKind.REPLY, number, encode(reply))
+        if number not in self._dropped:
+            self.send_message(number, encode(reply))
+
+    def _forget(self, number: int) -> None:
+        self._tasks.pop(number, None)
+        self._dropped.discard(number)
 
 
 class StreamListener:
--- a/src/ragwortstand/peers/streams.py
+++ b/src/ragwortstand/peers/streams.py
@@ -63,6 +63,11 @@
         self.is_lost = False
         self._number = 0
         self._heartbeat_at_s: float | None = None
+        self._piece_at_s = 0.0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        super().connection_made(transport)
+        self.send(FrameKind.HELLO, 0)
 
     async def send_request(self, wire: bytes, timeout_s: float) -> bytes:
         if self.is_lost:
@@ -74,22 +79,23 @@
         self.pending[number] = _PendingRequest(reply, clock.now_s())
         timer = loop.call_later(timeout_s, _fail_on_timeout, reply, timeout_s)
         try:
-            self.send(FrameKind.REQUEST, number, wire)
+            self.send_message(number, wire)
             return cast(bytes, await reply)
         finally:
             timer.cancel()
-            self.pending.pop(number, None)
+            self._end_request(number, reply)
 
     def silent_s(self, now_s: float) -> float:
         """Return how long a heartbeat has been without a reply.
 
+        The pieces of a large reply show that the link works; the reply to the
+        heartbeat waits behind some of them.
+
         :param now_s: current time.
         """
-        return (
-            0.0
-            if self._heartbeat_at_s is None
-            else now_s - self._heartbeat_at_s
-        )
+        if self._heartbeat_at_s is None:
+            return 0.0
+        return now_s - max(self._heartbeat_at_s, self._piece_at_s)
 
     def on_frame(self, kind: int, number: int, body: bytes) -> None:
         if kind == FrameKind.BEAT_REPLY:
@@ -99,7 +105,14 @@
         if kind == FrameKind.REPLY and pending and not pending.reply.done():
             pending.reply.set_result(body)
 
+    def on_piece(self, number: int) -> None:
+        self._piece_at_s = clock.now_s()
+        if number not in self.pending:
+            # The request was given up while its reply was on the way.
+            self.drop_message(number)
+
     def connection_lost(self, exc: Exception | None) -> None:
+        super().connection_lost(exc)
         self.is_lost = True
         self._heartbeat_at_s = None
         error = PeerError(f'link lost: {exc}', Verdict.MAY_HAVE_RUN)
@@ -123,6 +136,15 @@
             self._heartbeat_at_s = now_s
             self.send(FrameKind.BEAT, 0)
 
+    def _end_request(self, number: int, reply: 'asyncio.Future[bytes]') -> None:
+        """Let neither side send more of a request that got no reply."""
+        self.pending.pop(number, None)
+        if reply.done() and not reply.cancelled() and not reply.exception():
+            return
+        self.drop_message(number)
+        if self.accepts_pieces:
+            self.send(FrameKind.DROP, number)
+
 
 class StreamLinks:
     """Links to all peers that requests were sent to.
--- a/src/ragwortstand/sockets.py
+++ b/src/ragwortstand/sockets.py
@@ -59,3 +59,19 @@
         (socket.TCP_USER_TIMEOUT, keepalive.unacknowledged_ms),
     ):
         connection.setsockopt(socket.IPPROTO_TCP, option, amount)
+
+
+def limit_unsent_bytes(
+    connection: socket.socket | None, max_bytes: int
+) -> None:
+    """Limit how many bytes the kernel buffers before it sends them.
+
+    Bytes that the kernel has taken can't be overtaken by more urgent ones.
+
+    :param connection: an open TCP socket; None is ignored.
+    :param max_bytes: the limit; what is on the way is not included.
+    """
+    if connection is not None:
+        connection.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, max_bytes
+        )
--- a/tests/forwarded.py
+++ b/tests/forwarded.py
@@ -14,12 +14,13 @@
     is_idempotent: bool = False,
     is_resent: bool = False,
     boot: int = 0,
+    target: str = '/',
 ) -> Work:
     """Return the message that forwards a request to another daemon."""
     return Work(
         request_id=RequestId(name),
         method='POST',
-        target='/',
+        target=target,
         headers=(),
         body=b'',
         service='s',
