--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -254,6 +254,52 @@
         self.assertGreater(refused.pop('bulk'), 0)
         self.assertEqual(refused, {'middle': 0, 'urgent': 0})
 
+    def test_steady_load_of_one_rank_is_never_refused(self) -> None:
+        """A host without processor time is no reason to refuse requests.
+
+        The loop stands still for up to 0.6 s while 50 requests per second of
+        one rank arrive, as many as before.
+        """
+        guard = self._guard()
+        for lag_s in (0.0,) * 30 + (0.6, 0.0, 0.3, 0.6, 0.6, 0.1) * 10:
+            arrivals = round(50 * (0.1 + lag_s))
+            admitted = [guard.admits('urgent') for _ in range(arrivals)]
+            self.assertTrue(all(admitted), lag_s)
+            guard.record_lag(lag_s)
+
+    def test_few_requests_of_another_rank_refuse_none(self) -> None:
+        """A rank is not limited by how little the other ranks ask for."""
+        guard = self._guard()
+        for tick in range(100):
+            guard.record_lag(0.2 if tick > 30 else 0.0)
+            if tick % 10 == 0:
+                self.assertTrue(guard.admits('bulk'))
+            self.assertTrue(all(guard.admits('urgent') for _ in range(5)))
+
+    def test_flooding_rank_gets_what_others_leave(self) -> None:
+        """During a flood the daemon works, and other ranks are served.
+
+        The daemon has time for 250 requests per second and usually gets 200.
+        """
+        guard = self._guard()
+        for _ in range(300):
+            guard.record_lag(0.0)
+            self.assertTrue(all(guard.admits('bulk') for _ in range(20)))
+        admitted = 0
+        elapsed_s = 0.0
+        backlog_s = 0.0
+        while elapsed_s < 20:
+            interval_s = 0.1 + backlog_s
+            arrivals = round(1200 * interval_s)
+            taken = sum(guard.admits('bulk') for _ in range(arrivals))
+            self.assertTrue(guard.admits('urgent'))
+            admitted += taken
+            elapsed_s += interval_s
+            backlog_s = max(0.0, backlog_s + (taken + 1) / 250 - interval_s)
+            guard.record_lag(backlog_s)
+            self.assertLess(backlog_s, 1)
+        self.assertGreater(admitted, 200 * elapsed_s * 0.8)
+
     def test_recovers_within_a_second(self) -> None:
         """Once the lag is gone everything is admitted at once."""
         guard = self._guard()
