--- a/src/ragwortstand/sidecar.py
+++ b/src/ragwortstand/sidecar.py
@@ -420,7 +420,7 @@
 
     def _on_member(self, member: Member) -> None:
         self._scopes.record_address(member)
-        self._choice.forget(member.host)
+        self._choice.record_member(member)
         self._log.emit(
             Event.MEMBER,
             member=member.host,
--- a/tests/test_latency_objective_choice.py
+++ b/tests/test_latency_objective_choice.py
@@ -3,6 +3,9 @@
 import random
 import unittest
 from collections import Counter
+from unittest import mock
+
+from msgspec.structs import replace
 
 from ragwortstand.backend_servers import Load
 from ragwortstand.ids import HostId, RegionName, ZoneName
@@ -25,6 +28,7 @@
 _ALL = (_NEAR, _BESIDE, _FAR)
 _SERVED = Answered(200, (), b'')
 _FULL = Refused(Cause.OVERLOADED, 0.1)
+_REJECTED = Refused(Cause.REJECTED)
 
 
 class _ChoiceTestCase(unittest.TestCase):
@@ -149,6 +153,63 @@
         self.assertEqual(self._count_choices(0.01)['near'], 0)
         self.assertEqual(self._count_choices(4), {'near': 20})
 
+    def test_server_that_only_fails_does_not_count_as_sound(self) -> None:
+        """Failures keep the failure rate in use as responses do."""
+        for tenth_s in range(60):
+            self._record_call('near', _REJECTED, at_s=tenth_s / 10)
+        self.assertEqual(self._count_choices(6)['near'], 0)
+
+
+class HerdTests(unittest.TestCase):
+    """Many daemons with few requests each know only older loads."""
+
+    def setUp(self) -> None:
+        """Create daemons and servers of unequal speed in one zone."""
+        self.members = tuple(
+            member(f's{number}', zone='a1', region='a') for number in range(12)
+        )
+        self.rng = random.Random(2)
+        self.choices = [self._choice_of(f'd{number}') for number in range(20)]
+        for choice in self.choices:
+            for number, one in enumerate(self.members):
+                choice.record_start(one.host, _RANK)
+                taken_s = 0.04 if number % 3 == 0 else 0.06
+                choice.record_outcome(
+                    one.host, _RANK, _SERVED, 0.3, taken_s, 0.0
+                )
+
+    def _choice_of(self, host: str) -> LatencyObjectiveChoice:
+        return LatencyObjectiveChoice(
+            Locality(HostId(host), ZoneName('a1'), RegionName('a')),
+            lambda now_s: Load(3, 0, 0),
+            self.rng,
+        )
+
+    def test_daemons_do_not_all_choose_the_fastest(self) -> None:
+        """No server gets over twice its part of the requests of a moment."""
+        found: Counter[str] = Counter()
+        for choice in self.choices:
+            for _ in range(12):
+                picked = choice.choose(self.members, _RANK, (), 2.0)
+                assert picked
+                found[picked.host] += 1
+        # Four of twelve servers are 1.5 times as fast: part 0.107 of 240.
+        self.assertLess(max(found.values()), 240 * 0.107 * 2)
+        self.assertGreater(len(found), 8)
+
+    def test_work_of_a_choice_hardly_grows_with_the_servers(self) -> None:
+        """67 servers are not compared one by one for each request."""
+        many = tuple(
+            member(f'm{number}', zone='a1', region='a') for number in range(67)
+        )
+        choice = self.choices[0]
+        with mock.patch.object(
+            choice, '_cost_s', wraps=choice._cost_s
+        ) as cost_s:
+            for _ in range(100):
+                choice.choose(many, _RANK, (), 2.0)
+            self.assertLessEqual(cost_s.call_count, 300)
+
 
 class UnreachableTests(_ChoiceTestCase):
     """Hosts that can't be reached get no requests for a while."""
@@ -170,5 +231,12 @@
 
     def test_new_process_starts_without_history(self) -> None:
         self._record_call('near', Refused(Cause.LEAVING))
-        self.choice.forget(HostId('near'))
+        self.choice.record_member(replace(_NEAR, boot=2))
         self.assertEqual(self._count_choices(0.01), {'near': 20})
+
+    def test_other_news_of_a_member_keeps_its_history(self) -> None:
+        """A member whose entry changes is as slow or lost as before."""
+        self.choice.record_member(_NEAR)
+        self._record_call('near', Refused(Cause.PEER_UNREACHABLE))
+        self.choice.record_member(replace(_NEAR, incarnation=9, store_reach=1))
+        self.assertEqual(self._count_choices(0.1), {'beside': 20})
