Send no requests to a server that rejects all, and dial without a lock

Cause: a server in trouble rejects what it is sent while it announces itself as ready. Each daemon had to learn this by itself, each rejection used up the retry budget that all share, and a request whose budget was gone failed although other servers had slots.

Change: the daemon beside the server, which sees all its rejections, opens a circuit breaker after four in a row. It then refuses requests as not run, which costs no retry, and sends one in 0.25 s until one runs. Status 400, which is about one request, does not count. The log says `rejecting` and `running`.

A request over an open link no longer takes the lock that guards dialling.

--- a/src/ragwortstand/backend_servers/request_sender.py
+++ b/src/ragwortstand/backend_servers/request_sender.py
@@ -18,7 +18,12 @@
 )
 from ragwortstand.backend_servers.dialect import BackendDialect
 from ragwortstand.backend_servers.httptools_client import HttptoolsConnection
+from ragwortstand.backend_servers.rejection_breaker import (
+    PROBE_INTERVAL_S,
+    RejectionBreaker,
+)
 from ragwortstand.calls import Call
+from ragwortstand.events import Event, EventLog
 from ragwortstand.exceptions import (
     AnswerTooLargeError,
     BackendServerError,
@@ -34,6 +39,9 @@
 )
 
 _SECOND_PROBE_DELAY_S = 0.05
+# Statuses of a backend server that rejects whatever it is sent; others, such as
+# 400, concern one request.
+_OVERLOAD_STATUSES = frozenset((429, 503))
 # Outcome of a request that reached another backend server than intended.
 _WRONG_SERVER = Refused(Cause.NO_BACKEND_SERVER)
 
@@ -48,6 +56,8 @@
     :param crash_detector: distinguishes crashes from lost connections.
     :param on_down: called with the reason why the backend server is
         unreachable.
+    :param log: logs when the backend server rejects requests, and when it
+        runs them again.
     """
 
     def __init__(
@@ -58,6 +68,7 @@
         connect: Connect,
         crash_detector: CrashDetector,
         on_down: Callable[[str], None],
+        log: EventLog,
     ) -> None:
         """Create a sender without a backend server."""
         self._settings = settings
@@ -66,6 +77,8 @@
         self._connect = connect
         self._crash_detector = crash_detector
         self._on_down = on_down
+        self._log = log
+        self._breaker = RejectionBreaker()
         self._pool: ConnectionPool | None = None
         self._endpoint = Endpoint('', 0)
         self._instance = ''
@@ -76,6 +89,7 @@
         :param announcement: its address, port and limit of connections.
         """
         self.drop_idle()
+        self._breaker = RejectionBreaker()
         self._instance = announcement.instance
         self._endpoint = Endpoint(announcement.address, announcement.port)
         self._pool = ConnectionPool(
@@ -95,6 +109,8 @@
         pool = self._pool
         if pool is None:
             return Refused(Cause.BACKEND_SERVER_DOWN)
+        if not self._breaker.allows(clock.now_s()):
+            return Refused(Cause.BACKEND_SERVER_DOWN, PROBE_INTERVAL_S)
         max_idle_s = (
             self._settings.idle_reuse_s
             if call.is_idempotent
@@ -129,12 +145,27 @@
         if self._crash_detector.is_suspect(call, clock.now_s()):
             await self._crash_detector.clear(call.fingerprint)
         outcome = self._dialect.outcome(call, answered)
+        self._update_breaker(outcome, answered.status)
         if isinstance(outcome, Refused):
             call.is_dispatched = False
         if outcome == _WRONG_SERVER:
             self._on_down('another backend server has the address')
         return outcome
 
+    def _update_breaker(self, outcome: Outcome, status: int) -> None:
+        """Record whether the backend server ran a request or rejected it."""
+        was_open = self._breaker.is_open
+        if not isinstance(outcome, Refused):
+            self._breaker.close()
+        elif status in _OVERLOAD_STATUSES:
+            self._breaker.record_rejection(clock.now_s())
+        if self._breaker.is_open != was_open:
+            self._log.emit(
+                Event.BACKEND_SERVER,
+                state='running' if was_open else 'rejecting',
+                instance=self._instance,
+            )
+
     async def _outcome_of_error(
         self,
         call: Call,
--- a/src/ragwortstand/backend_servers/server.py
+++ b/src/ragwortstand/backend_servers/server.py
@@ -98,6 +98,7 @@
             connect or _connect_for(settings),
             self.crash_detector,
             self._mark_down,
+            log,
         )
         self.is_owner: Callable[[Call], bool] = _always_here
         self.on_change: Callable[[], None] = _ignore_change
--- a/src/ragwortstand/peers/streams.py
+++ b/src/ragwortstand/peers/streams.py
@@ -253,6 +253,9 @@
         *,
         is_resent: bool,
     ) -> _ClientConnection:
+        link = self._connections.get(address)
+        if link and not link.is_lost:
+            return link
         lock = self._dial_locks.setdefault(address, anyio.Lock())
         async with lock:
             link = self._connections.get(address)
--- a/src/ragwortstand/tools/model/fleet.py
+++ b/src/ragwortstand/tools/model/fleet.py
@@ -17,6 +17,10 @@
 
 from ragwortstand import clock
 from ragwortstand.backend_servers.admission import Admission, Load, Ticket
+from ragwortstand.backend_servers.rejection_breaker import (
+    PROBE_INTERVAL_S,
+    RejectionBreaker,
+)
 from ragwortstand.callers.dispatch import Dispatcher
 from ragwortstand.callers.wait_estimator import CallerWaitEstimator
 from ragwortstand.calls import Call
@@ -72,6 +76,7 @@
         self._daemon = daemon
         self._server = daemon.server
         self._rng = daemon.fleet.rng
+        self._breaker = RejectionBreaker()
         self.admission = admission
         admission.configure(daemon.fleet.ranks)
         admission.open(self._server.slots, 0, 0)
@@ -100,8 +105,13 @@
         if ticket.refusal:
             return ticket.refusal
         faults = self._active_faults()
+        if not self._breaker.allows(clock.now_s()):
+            return Refused(Cause.BACKEND_SERVER_DOWN, PROBE_INTERVAL_S)
         if any(self._rng.random() < one.rejected_share for one in faults):
+            self._daemon.rejected += 1
+            self._breaker.record_rejection(clock.now_s())
             return Refused(Cause.REJECTED, _REJECTED_RETRY_AFTER_S)
+        self._breaker.close()
         call.is_dispatched = True
         slowdown = math.prod(one.slowdown for one in faults)
         kind = self._daemon.fleet.kind_of(call)
@@ -129,6 +139,7 @@
     def __init__(self, fleet: 'FleetModel', server: Server) -> None:
         self.fleet = fleet
         self.server = server
+        self.rejected = 0
         self.locality = Locality(
             HostId(server.host),
             ZoneName(server.zone),
