Start no second attempt without time for it, and forget old requests

The times of a service's requests were trimmed only when a retry was charged and grew without bound otherwise.

Change: a second attempt needs a fifth of the rank's target as remaining time. The window is trimmed with each request.

Measured: two new tests, which fail before; the property test of the shared budget passes.

--- a/src/ragwortstand/peers/shared_budget.py
+++ b/src/ragwortstand/peers/shared_budget.py
@@ -37,6 +37,9 @@
 # Fraction of the rank's target after which a refusal is returned to the caller
 # instead of trying another daemon.
 _SEARCH_FRACTION = 0.125
+# A request that has reached a server is not sent to another with less time left
+# than this fraction of its rank's target: it would use a slot in vain.
+_MIN_REMAINING_FRACTION = 0.2
 _FINAL_CAUSES = frozenset(
     (Cause.DEADLINE, Cause.QUARANTINED, Cause.CALLER_GONE)
 )
@@ -99,6 +102,7 @@
         :param now_s: current time.
         """
         window = self._windows.setdefault(call.service.name, _ServiceWindow())
+        window.expire(now_s - self.budget.window_s)
         if call.attempt == 1:
             window.requests.append(now_s)
         window.lowest_target_s = min(window.lowest_target_s, call.rank.target_s)
@@ -109,7 +113,7 @@
         if not call.sends:
             return call.attempt < _MAX_TARGETS and _has_search_time(call, now_s)
         limit = call.max_attempts or _DEFAULT_ATTEMPTS
-        if call.sends >= limit or call.remaining_s(now_s) <= 0:
+        if call.sends >= limit or not _has_time(call, now_s):
             return False
         if isinstance(outcome, Refused) and outcome.cause is not Cause.REJECTED:
             # The budget was charged when the attempt started.
@@ -117,7 +121,6 @@
         return self._charge(window, call, now_s)
 
     def _charge(self, window: _ServiceWindow, call: Call, now_s: float) -> bool:
-        window.expire(now_s - self.budget.window_s)
         daemons = max(1, self._daemons())
         slack = self.budget.slack * _SLACK_FRACTION / daemons
         share = self.budget.ratio * _OWN_RETRIES_FRACTION * len(window.requests)
@@ -146,6 +149,11 @@
     return isinstance(outcome, Unknown) and call.is_idempotent
 
 
+def _has_time(call: Call, now_s: float) -> bool:
+    min_remaining_s = call.rank.target_s * _MIN_REMAINING_FRACTION
+    return call.remaining_s(now_s) > min_remaining_s
+
+
 def _has_search_time(call: Call, now_s: float) -> bool:
     waited_s = now_s - call.began_at_s
     return waited_s < call.rank.target_s * _SEARCH_FRACTION
--- a/tests/test_shared_budget.py
+++ b/tests/test_shared_budget.py
@@ -102,12 +102,29 @@
         call.attempt = 2
         self.assertFalse(self.retries.allows(call, _LOST, 0.02))
 
+    def test_no_retry_without_time_for_it(self) -> None:
+        """A second server would work for a caller that has left."""
+        for outcome in (_LOST, Refused(Cause.REJECTED), Answered(500, (), b'')):
+            self.assertTrue(_allows(self.retries, outcome, 1.4))
+            self.assertFalse(_allows(self.retries, outcome, 1.46))
+
     def test_search_for_a_free_server_ends_early(self) -> None:
         full = Refused(Cause.OVERLOADED)
         self.assertTrue(_allows(self.retries, full, now_s=0.02))
         self.assertFalse(_allows(self.retries, full, now_s=0.04))
 
 
+class WindowTests(unittest.TestCase):
+    """What is stored of past requests."""
+
+    def test_requests_of_the_past_are_forgotten(self) -> None:
+        """Without a retry, too, only the requests of a window are stored."""
+        retries = SharedBudgetRetries(_TERMS, lambda: 1)
+        for number in range(2000):
+            _allows(retries, Answered(200, (), b''), number / 10)
+        self.assertLessEqual(len(retries._windows['s'].requests), 101)
+
+
 class GreyServersTests(unittest.TestCase):
     """All servers of a service reject more than half of their requests."""
 
