Judge answers of the store by their content

Cause: a call that was answered with any status counted as good, unreadable answers were no outage in the log, a scan ignored that the store had more rows, and the fastest call ever made decided for good whether the store is near.

Change: a call counts as good when its answer was used; an unreadable one is logged as an outage. Scans read all pages up to their limit. The fastest of the last 16 calls tells how near the store is; polls of the feed do not count. Program no longer keeps settings that it does not use.

--- a/src/ragwortstand/platform/program.py
+++ b/src/ragwortstand/platform/program.py
@@ -49,7 +49,6 @@
     def __init__(self, path: str, node: NodeSettings, log: EventLog) -> None:
         """Create the sidecar with the platform's adapters."""
         self._path = pathlib.Path(path)
-        self._node = node
         self._log = log
         metrics = Metrics()
         self._client = StoreClient(node.provider.address, metrics, log)
@@ -115,7 +114,6 @@
         except SettingsError as error:
             self._log.emit(Event.RELOAD_REFUSED, problem=str(error))
             return
-        self._node = node
         self._caller_dialect.service = node.service
         self._control_api.address = node.app_addr
         self._sidecar.reload(settings)
--- a/src/ragwortstand/platform/store.py
+++ b/src/ragwortstand/platform/store.py
@@ -3,6 +3,7 @@
 import base64
 import math
 import time
+from collections import deque
 from collections.abc import Callable
 from typing import TypeVar
 from urllib.parse import urlencode
@@ -53,6 +54,8 @@
 _FAILURE_BACKOFF_S = 5.0
 # Calls to a store in the same region take less than this time.
 _SAME_REGION_S = 0.015
+# A store that is slow for a while stays in its region for this many calls.
+_RECENT_CALLS = 16
 _MAX_CONNECTIONS = 4
 # Fits a transaction of 1 MB in base64 with the list around it.
 _MAX_RESPONSE_BYTES = 4 * 1024 * 1024
@@ -114,7 +117,12 @@
         self.metrics = metrics
         self._log = log
         self.is_reachable = True
-        self.fastest_call_s = math.inf
+        self._recent_calls_s: deque[float] = deque(maxlen=_RECENT_CALLS)
+
+    @property
+    def fastest_call_s(self) -> float:
+        """Return the duration of the fastest recent call, or infinity."""
+        return min(self._recent_calls_s, default=math.inf)
 
     def close(self) -> None:
         """Close all idle connections."""
@@ -144,9 +152,16 @@
                 raise
             answered = await self._send('GET', target, b'', timeout_s)
         if answered.status == _HISTORY_GONE:
+            self._record_success('GET')
             return None
         self._check_status(answered, path)
-        return _decode(answered, response_type)
+        try:
+            document = msgspec.json.decode(answered.body, type=response_type)
+        except msgspec.DecodeError as error:
+            problem = f'{path} returned unreadable data: {error}'
+            raise self._handle_failure(problem, Verdict.MAY_HAVE_RUN) from error
+        self._record_success('GET')
+        return document
 
     async def write(self, path: str, document: object) -> bool:
         """Run a transaction; return whether its conditions held.
@@ -157,10 +172,11 @@
         """
         body = msgspec.json.encode(document)
         answered = await self._send('POST', path, body, _TIMEOUT_S)
-        if answered.status == _CONDITION_FAILED:
-            return False
-        self._check_status(answered, path)
-        return True
+        is_committed = answered.status != _CONDITION_FAILED
+        if is_committed:
+            self._check_status(answered, path)
+        self._record_success('POST')
+        return is_committed
 
     async def _send(
         self,
@@ -180,10 +196,9 @@
             raise self._handle_failure(problem, Verdict.MAY_HAVE_RUN) from error
         except BackendServerError as error:
             raise self._handle_failure(str(error), error.verdict) from error
-        self.metrics.platform_calls.labels(method, 'ok').inc()
-        self.fastest_call_s = min(
-            self.fastest_call_s, clock.now_s() - started_s
-        )
+        if timeout_s <= _TIMEOUT_S:
+            # A long poll of the feed says nothing of the store's distance.
+            self._recent_calls_s.append(clock.now_s() - started_s)
         return answered
 
     async def _exchange(self, request: WireRequest, now_s: float) -> Answered:
@@ -197,6 +212,9 @@
         if answered.status != 200:
             problem = f'{path} returned status {answered.status}'
             raise self._handle_failure(problem, Verdict.NOT_RUN)
+
+    def _record_success(self, method: str) -> None:
+        self.metrics.platform_calls.labels(method, 'ok').inc()
         if not self.is_reachable:
             self._log.emit(Event.PLATFORM_BACK)
         self.is_reachable = True
@@ -257,22 +275,28 @@
     async def _read_rows(
         self, start: str, end: str, limit: int
     ) -> tuple[Row, ...]:
-        query: dict[str, str | int] = {
-            'table': TABLE,
-            'part': '',
-            'from': start,
-            'to': end,
-            'limit': limit,
-        }
-        response = await self._client.read(
-            '/api/rows-get', query, _RowsResponse
-        )
-        if response is None:
-            return ()
-        return tuple(
-            Row(row.key, row.ver, row.content().decode('utf-8', 'replace'))
-            for row in response.rows
-        )
+        rows: list[Row] = []
+        has_more = True
+        while has_more and len(rows) < limit:
+            query: dict[str, str | int] = {
+                'table': TABLE,
+                'part': '',
+                'from': start,
+                'to': end,
+                'limit': limit - len(rows),
+            }
+            response = await self._client.read(
+                '/api/rows-get', query, _RowsResponse
+            )
+            if response is None or not response.rows:
+                break
+            rows.extend(
+                Row(row.key, row.ver, row.content().decode('utf-8', 'replace'))
+                for row in response.rows
+            )
+            start = f'{rows[-1].key}\0'
+            has_more = response.has_more
+        return tuple(rows)
 
 
 class StoreVersions:
@@ -449,10 +473,3 @@
 
 def _row_key(key: str) -> dict[str, str]:
     return {'table': TABLE, 'part': '', 'key': key}
-
-
-def _decode(answered: Answered, response_type: type[_Response]) -> _Response:
-    try:
-        return msgspec.json.decode(answered.body, type=response_type)
-    except msgspec.DecodeError as error:
-        raise PlatformError(str(error), Verdict.MAY_HAVE_RUN) from error
--- a/tests/store_standin.py
+++ b/tests/store_standin.py
@@ -43,11 +43,13 @@
 
     :ivar faults: faults of the next calls, one each; None for no fault.
     :ivar calls: paths of the calls so far.
+    :ivar page_rows: maximum number of rows in a response.
     """
 
     faults: deque[StoreFault | None] = field(default_factory=deque)
     calls: list[str] = field(default_factory=list)
     late_s: float = 0.05
+    page_rows: int = 500
     is_history_lost: bool = False
 
     def __post_init__(self) -> None:
@@ -116,7 +118,7 @@
 
     def _get(self, query: dict[str, str]) -> Answered:
         start, end = query.get('from', ''), query.get('to', '\x7f')
-        limit = int(query.get('limit', 500))
+        limit = min(int(query.get('limit', 500)), self.page_rows)
         found = [
             _row(row_key, content, version)
             for row_key, (content, version) in sorted(self.rows.items())
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -70,6 +70,16 @@
             await fixture.table.transact(Transaction((), (Write('a', None),)))
             self.assertEqual(await fixture.table.scan(''), ())
 
+    async def test_scan_reads_all_pages(self) -> None:
+        async with _fixture() as fixture:
+            fixture.store.page_rows = 3
+            names = [f'a/{number}' for number in range(8)]
+            for name in names:
+                fixture.store.put('ragwortstand', name, b'x')
+            rows = await fixture.table.scan('a/')
+            self.assertEqual([row.key for row in rows], names)
+            self.assertEqual(len(await fixture.table.scan('a/', limit=5)), 5)
+
 
 class OutageTests(unittest.IsolatedAsyncioTestCase):
     """Errors of failed calls say whether the call may have run."""
@@ -113,6 +123,29 @@
             fixture.store.faults.append(StoreFault.MALFORMED)
             with self.assertRaises(PlatformError):
                 await fixture.table.scan('a')
+            self.assertEqual(fixture.log.events, [Event.PLATFORM_OUTAGE])
+            self.assertFalse(fixture.client.is_reachable)
+
+    async def test_only_usable_responses_count_as_good(self) -> None:
+        for fault in (StoreFault.BUSY, StoreFault.MALFORMED):
+            async with _fixture() as fixture:
+                fixture.store.faults.append(fault)
+                with self.assertRaises(PlatformError):
+                    await fixture.table.scan('a')
+                metrics = fixture.client.metrics.render()
+                self.assertNotIn(b'outcome="ok"', metrics)
+                self.assertIn(b'outcome="failed"', metrics)
+
+    async def test_store_that_is_slow_for_long_counts_as_far(self) -> None:
+        """One fast call does not make a store near for good."""
+        async with _fixture() as fixture:
+            await fixture.table.scan('a')
+            fixture.store.faults.extend([StoreFault.DELAYED] * 16)
+            for _ in range(16):
+                await fixture.table.scan('a')
+            self.assertGreater(
+                fixture.client.fastest_call_s, fixture.store.late_s
+            )
 
     async def test_connection_refused_is_not_run(self) -> None:
         listener = bind('127.0.0.1', 0)
