Bound the bodies that forwarded work keeps for resent copies

Cause: outcomes of forwarded work are kept for 5 s with their bodies, however many and large they are; downloads of 0.5 MB fill a host of 200 MB.

Change: of idempotent work at most 16 MB of bodies are kept, the newest; a copy of an older one that is resent runs again. Outcomes of work that may not be repeated are kept as before.

--- a/src/ragwortstand/peers/forwarding.py
+++ b/src/ragwortstand/peers/forwarding.py
@@ -3,9 +3,10 @@
 import asyncio
 import contextlib
 import heapq
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 import anyio
 from anyio.abc import TaskGroup
@@ -50,6 +51,10 @@
 # Outcomes are kept this long after the end of a run; those of non-idempotent
 # work at least until its deadline, because its sender may resend it until then.
 _OUTCOME_RETENTION_S = 5.0
+# Limit of the bodies in kept outcomes of idempotent work. Of the oldest ones
+# that exceed it a resent copy runs again. Small against the 200 MB of the
+# smallest hosts, and two seconds of responses over a link of 70 Mbit/s.
+_MAX_KEPT_BYTES = 16 * 1024 * 1024
 
 
 @dataclass(frozen=True, slots=True)
@@ -163,6 +168,17 @@
     scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
 
 
+class _KeptBody(NamedTuple):
+    """Size of the body in a kept outcome."""
+
+    request_id: RequestId
+    attempt: int
+    size_bytes: int
+
+    def is_of(self, request_id: RequestId, attempt: int) -> bool:
+        return self[:2] == (request_id, attempt)
+
+
 class ForwardedWork:
     """Runs requests that other daemons forward to this one.
 
@@ -194,6 +210,9 @@
         self._runs: dict[RequestId, dict[int, _Run]] = {}
         # Heap of ended runs, ordered by the time until which they are kept.
         self._ended: list[tuple[float, RequestId, int]] = []
+        # Ended runs of idempotent work with a body, the oldest first.
+        self._kept_bodies: deque[_KeptBody] = deque()
+        self._kept_bytes = 0
         self._in_flight = 0
 
     @property
@@ -232,11 +251,11 @@
         )
         run = _Run(task, call, scope=scope)
         self._in_flight += 1
-        task.add_done_callback(lambda _: self._on_run_ended(call))
+        task.add_done_callback(lambda _: self._on_run_ended(call, run))
         self._runs.setdefault(work.request_id, {})[work.attempt] = run
         return run
 
-    def _on_run_ended(self, call: Call) -> None:
+    def _on_run_ended(self, call: Call, run: '_Run') -> None:
         self._in_flight -= 1
         kept_until_s = clock.now_s() + _OUTCOME_RETENTION_S
         if not call.is_idempotent:
@@ -244,6 +263,29 @@
         heapq.heappush(
             self._ended, (kept_until_s, call.request_id, call.attempt)
         )
+        has_result = not run.result.cancelled() and not run.result.exception()
+        if call.is_idempotent and has_result:
+            size_bytes = len(run.result.result().body)
+            body = _KeptBody(call.request_id, call.attempt, size_bytes)
+            self._kept_bodies.append(body)
+            self._kept_bytes += size_bytes
+            self._limit_kept_bytes()
+
+    def _limit_kept_bytes(self) -> None:
+        """Drop the oldest outcomes of idempotent work beyond the limit."""
+        while self._kept_bytes > _MAX_KEPT_BYTES:
+            body = self._kept_bodies.popleft()
+            self._kept_bytes -= body.size_bytes
+            self._forget(body.request_id, body.attempt)
+
+    def _forget(self, request_id: RequestId, attempt: int) -> None:
+        """Forget an ended run; a later one of the same work may be active."""
+        runs = self._runs.get(request_id, {})
+        run = runs.get(attempt)
+        if run and run.result.done():
+            runs.pop(attempt)
+        if not runs:
+            self._runs.pop(request_id, None)
 
     async def _execute(
         self,
@@ -280,10 +322,14 @@
         """Drop outcomes whose senders no longer resend the work."""
         while self._ended and now_s > self._ended[0][0]:
             _, request_id, attempt = heapq.heappop(self._ended)
-            runs = self._runs[request_id]
-            runs.pop(attempt)
-            if not runs:
-                self._runs.pop(request_id)
+            self._forget(request_id, attempt)
+            self._forget_body(request_id, attempt)
+
+    def _forget_body(self, request_id: RequestId, attempt: int) -> None:
+        """Stop counting a body; idempotent work is dropped in its order."""
+        bodies = self._kept_bodies
+        if bodies and bodies[0].is_of(request_id, attempt):
+            self._kept_bytes -= bodies.popleft().size_bytes
 
     def _call_from(self, work: Work) -> Call:
         snapshot = self._snapshot()
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -501,6 +501,33 @@
         """Old outcomes are dropped, as senders do not resend that late."""
         self.assertEqual(self._ran_after(6.0), ['kept', 'other', 'kept'])
 
+    def test_large_outcomes_do_not_fill_the_memory(self) -> None:
+        """Of idempotent work as many bytes are kept as a host can hold."""
+
+        async def scenario() -> tuple[int, list[str]]:
+            peer = _Peer()
+            filing = replace(new_work('filing'), body=bytes(_MEBIBYTE))
+            await peer.work.run(filing)
+            for number in range(100):
+                lookup = replace(
+                    _lookup(f'{number}'), body=bytes(_MEBIBYTE // 2)
+                )
+                await peer.work.run(lookup)
+                await asyncio.sleep(0)
+            kept = [
+                run.result.result()
+                for runs in peer.work._runs.values()
+                for run in runs.values()
+            ]
+            await peer.work.run(replace(filing, is_resent=True))
+            peer.socket.close()
+            return sum(len(one.body) for one in kept), peer.runner.ran
+
+        kept_bytes, ran = run_in_virtual_time(scenario)
+        self.assertLessEqual(kept_bytes, 17 * _MEBIBYTE)
+        self.assertGreaterEqual(kept_bytes, 16 * _MEBIBYTE)
+        self.assertEqual(ran.count('filing'), 1)
+
     def test_cancellation_ends_no_other_request(self) -> None:
         """A cancellation applies to the request that it names only."""
 
