Deduct the time that work lay unread from the time that is left

Cause: work says how long its caller still waits when it is sent. A daemon that was paused, or whose link was busy, gave the backend server all of it later: work ran for callers that had left. A daemon paused between granting a slot and sending the request sent it after its deadline, as a cancellation is only seen when a task waits.

Change: work says when it was sent, on the boot-time clock, which goes on during a suspension. What it took longer than the fastest work of the last 10 to 20 s over the same connection is deducted from its remaining time and objective. Without time left it is refused as not run. The deadline is checked again at the act of sending.

Ruled out: time of day, which steps; one offset for each host, as its clock starts anew with the host.

--- a/src/ragwortstand/backend_servers/server.py
+++ b/src/ragwortstand/backend_servers/server.py
@@ -303,6 +303,9 @@
 
     async def _send(self, call: Call) -> Outcome:
         refusal = self._refusal(call)
+        if not call.remaining_s(clock.now_s()):
+            # A daemon that was paused continues here after the deadline.
+            return Refused(Cause.DEADLINE)
         if refusal or self.announcement is None:
             return refusal or Refused(Cause.BACKEND_SERVER_DOWN)
         return await self._request_sender.run(call)
--- a/src/ragwortstand/peers/forwarding.py
+++ b/src/ragwortstand/peers/forwarding.py
@@ -298,7 +298,10 @@
                 # Delayed work may arrive together with its cancellation; it
                 # must not reach the backend server then.
                 await checkpoint_if_cancelled()
-                outcome = await self._runner.run(call)
+                if call.remaining_s(clock.now_s()):
+                    outcome = await self._runner.run(call)
+                else:
+                    outcome = Refused(Cause.DEADLINE)
         except Exception as error:
             outcome = Unknown(Cause.INTERNAL)
             self._log.emit(
@@ -387,6 +390,7 @@
         goal_s=None if call.goal_s is None else call.goal_s - now_s,
         boot=boot,
         is_resent=is_resent,
+        sent_at_s=clock.boot_time_s(),
     )
 
 
--- a/src/ragwortstand/peers/messages.py
+++ b/src/ragwortstand/peers/messages.py
@@ -213,6 +213,8 @@
     :param boot: boot number of the process that the work is for; resent work
         does not run in another process.
     :param is_resent: whether the work may have arrived before.
+    :param sent_at_s: when it was sent, on the boot-time clock of the sender's
+        host; 0 from daemons that do not say it.
     """
 
     request_id: RequestId
@@ -230,6 +232,7 @@
     goal_s: float | None = None
     boot: int = 0
     is_resent: bool = False
+    sent_at_s: float = 0.0
 
 
 class WorkDone(_Message, frozen=True):
--- a/src/ragwortstand/peers/send_window.py
+++ b/src/ragwortstand/peers/send_window.py
@@ -10,6 +10,8 @@
 from collections.abc import Hashable
 from dataclasses import dataclass
 
+from ragwortstand.peers.recent_minimum import RecentMinimum
+
 # Limits of the window: the bytes that a link of 5.5 Mbit/s passes in 48 ms, and
 # those that one of 200 Mbit/s passes in 40 ms.
 _MIN_PIECES = 2
@@ -22,7 +24,7 @@
 _RECEIPT_TIMEOUT_S = 0.4
 # The shortest time to a receipt is measured anew at this interval, as the path
 # may have changed.
-_BASE_MAX_AGE_S = 10.0
+_BASE_INTERVAL_S = 10.0
 # Round trips without a queue differ by less than this: 24 ms between regions.
 # A path that has only been used with a queue is recognised by it.
 _MAX_BASE_SPREAD_S = 0.03
@@ -43,32 +45,12 @@
     """Transfers over one connection, the oldest first."""
 
     transfers: deque[_Transfer]
-    base: '_ShortestTime'
+    base: RecentMinimum
 
     def has_transfer(self, number: int) -> bool:
         return any(one.number == number for one in self.transfers)
 
 
-class _ShortestTime:
-    """The shortest time to a receipt within the last two intervals."""
-
-    def __init__(self) -> None:
-        self._began_at_s = -math.inf
-        self._present_s = math.inf
-        self._previous_s = math.inf
-
-    @property
-    def shortest_s(self) -> float:
-        return min(self._present_s, self._previous_s)
-
-    def record(self, taken_s: float, now_s: float) -> None:
-        if now_s - self._began_at_s > _BASE_MAX_AGE_S:
-            self._began_at_s = now_s
-            self._previous_s = self._present_s
-            self._present_s = math.inf
-        self._present_s = min(self._present_s, taken_s)
-
-
 class SendWindow:
     """Limits the bytes that are on the way over all connections of a host.
 
@@ -82,7 +64,7 @@
         self.in_flight_bytes = 0
         self._paths: dict[Hashable, _Path] = {}
         self._transfers: deque[_Transfer] = deque()
-        self._base = _ShortestTime()
+        self._base = RecentMinimum(_BASE_INTERVAL_S)
         self._decreased_at_s = -math.inf
 
     @property
@@ -117,7 +99,7 @@
         """
         transfer = _Transfer(number, size_bytes, now_s)
         path = self._paths.setdefault(
-            connection, _Path(deque(), _ShortestTime())
+            connection, _Path(deque(), RecentMinimum(_BASE_INTERVAL_S))
         )
         path.transfers.append(transfer)
         self._transfers.append(transfer)
@@ -160,9 +142,7 @@
         taken_s = now_s - transfer.sent_at_s
         for base in (path.base, self._base):
             base.record(taken_s, now_s)
-        base_s = min(
-            path.base.shortest_s, self._base.shortest_s + _MAX_BASE_SPREAD_S
-        )
+        base_s = min(path.base.minimum, self._base.minimum + _MAX_BASE_SPREAD_S)
         if taken_s - base_s > _TARGET_DELAY_S:
             self._decrease(taken_s, now_s)
         elif was_full:
--- a/src/ragwortstand/peers/stream_listener.py
+++ b/src/ragwortstand/peers/stream_listener.py
@@ -5,6 +5,7 @@
 
 import anyio
 
+from ragwortstand import clock
 from ragwortstand.events import EventLog
 from ragwortstand.metrics import Metrics
 from ragwortstand.peers.frames import FrameKind, FrameProtocol
@@ -17,6 +18,7 @@
 )
 from ragwortstand.peers.pieces import PieceScheduler
 from ragwortstand.peers.request_decoder import Handler, RequestDecoder
+from ragwortstand.peers.transit_time import TransitTimes
 from ragwortstand.verdicts import Cause, Unknown
 
 _BACKLOG = 512
@@ -37,6 +39,7 @@
         self._handler = handler
         listener.connections.add(self)
         self._tasks: dict[int, asyncio.Task[None]] = {}
+        self._transit_times = TransitTimes()
         # Requests that are given up and still run.
         self._dropped: set[int] = set()
 
@@ -64,7 +67,9 @@
             task.cancel()
 
     async def _reply(self, number: int, body: bytes) -> None:
-        reply = await self._listener.reply_to(body, self._handler)
+        reply = await self._listener.reply_to(
+            body, self._handler, self._transit_times
+        )
         if number not in self._dropped:
             self.send_message(number, encode(reply))
 
@@ -120,20 +125,26 @@
             server.close()
             await self._close_all()
 
-    async def reply_to(self, wire: bytes, handler: Handler) -> Reply:
+    async def reply_to(
+        self, wire: bytes, handler: Handler, transit_times: TransitTimes
+    ) -> Reply:
         """Return the reply to an encoded request.
 
         :param wire: the encoded envelope.
         :param handler: returns the reply to a request.
+        :param transit_times: deducts the time that work was on its way.
         """
         envelope = self._decoder.decode(wire)
         if isinstance(envelope, Refusal):
             return envelope
+        request = envelope.request
+        if isinstance(request, Work):
+            request = transit_times.deduct(request, clock.boot_time_s())
         try:
-            return await handler(envelope.sender, envelope.request)
+            return await handler(envelope.sender, request)
         except Exception as error:
             refusal = self._decoder.refuse('internal', repr(error))
-        if isinstance(envelope.request, Work):
+        if isinstance(request, Work):
             return work_done(Unknown(Cause.INTERNAL), 0)
         return refusal
 
--- a/tests/test_backend_server.py
+++ b/tests/test_backend_server.py
@@ -1,6 +1,7 @@
 """Tests of requests run on the local backend server, over loopback."""
 
 import contextlib
+import time
 import unittest
 
 import anyio
@@ -110,6 +111,20 @@
         self.assertEqual(waited, Refused(Cause.DEADLINE))
         self.assertEqual(ran, Unknown(Cause.DEADLINE))
 
+    async def test_nothing_is_sent_after_the_deadline(self) -> None:
+        """A daemon that was paused does not send what its caller gave up."""
+
+        async def pause() -> None:
+            time.sleep(0.3)  # noqa: ASYNC251
+
+        async with running_server(answering(OK)) as endpoint:
+            await self._announce(endpoint)
+            await self.server.run(_call())
+            call = _call(timeout_s=0.2)
+            outcome = await self.server.run(call, pause)
+        self.assertEqual(outcome, Refused(Cause.DEADLINE))
+        self.assertFalse(call.is_dispatched)
+
     async def test_oversized_response(self) -> None:
         """A response over the limit is no refusal, as the request ran."""
         large = b'HTTP/1.1 200 OK\r\ncontent-length: 101\r\n\r\n'
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -33,6 +33,7 @@
 )
 from ragwortstand.peers.stream_listener import StreamListener
 from ragwortstand.peers.streams import StreamLinks
+from ragwortstand.peers.transit_time import TransitTimes
 from ragwortstand.sockets import bind, port_of
 from ragwortstand.tools.model import run_in_virtual_time
 from ragwortstand.verdicts import (
@@ -61,11 +62,13 @@
 
     def __init__(self) -> None:
         self.ran: list[str] = []
+        self.remaining_s: dict[str, float] = {}
         self.cancelled = 0
         self.delay_s = 0.0
 
     async def run(self, call: Call) -> Outcome:
         self.ran.append(call.request_id)
+        self.remaining_s[call.request_id] = call.remaining_s(clock.now_s())
         call.is_dispatched = True
         try:
             await anyio.sleep(self.delay_s)
@@ -475,6 +478,66 @@
         self.assertIsInstance(reply, WorkDone)
 
 
+class PausedPeerTests(unittest.IsolatedAsyncioTestCase):
+    """A daemon that is paused while work for it arrives."""
+
+    # Guards against work that runs after its caller has left: the time that was
+    # left on sending was given to work that had lain unread for a second.
+    async def test_work_that_lay_unread_for_too_long_does_not_run(self) -> None:
+        async with _fixture() as fixture:
+            await fixture.forward('before')
+            fixture.peer.stop_reading()
+            outcome = await fixture.forward('late', budget_s=0.25)
+            self.assertEqual(outcome, Unknown(Cause.DEADLINE))
+            fixture.peer.continue_reading()
+            await fixture.forward('after')
+            self.assertEqual(fixture.peer.runner.ran, ['before', 'after'])
+
+    async def test_work_is_given_what_is_left_of_its_time(self) -> None:
+        async with _fixture() as fixture:
+            await fixture.forward('before')
+            fixture.peer.stop_reading()
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(fixture.forward, 'late')
+                await anyio.sleep(0.25)
+                fixture.peer.continue_reading()
+            self.assertLess(fixture.peer.runner.remaining_s['late'], 1.8)
+            self.assertGreater(fixture.peer.runner.remaining_s['late'], 1.0)
+
+
+class TransitTimesTests(unittest.TestCase):
+    """The time on the way, between clocks that differ by an hour."""
+
+    def setUp(self) -> None:
+        """Create an object that has seen work without a delay."""
+        self.transit_times = TransitTimes()
+        self._deduct(100, 0.012)
+
+    def _deduct(self, sent_at_s: float, taken_s: float) -> Work:
+        work = replace(_lookup('w'), sent_at_s=sent_at_s, goal_s=0.5)
+        return self.transit_times.deduct(work, 3600 + sent_at_s + taken_s)
+
+    def test_usual_time_is_not_deducted(self) -> None:
+        for sent_at_s in range(101, 200):
+            work = self._deduct(sent_at_s, 0.012)
+            self.assertAlmostEqual(work.remaining_s, 5.0)
+
+    def test_delay_is_deducted_from_the_objective_too(self) -> None:
+        work = self._deduct(101, 1.012)
+        self.assertAlmostEqual(work.remaining_s, 4.0)
+        self.assertAlmostEqual(work.goal_s or 0, -0.5)
+
+    def test_longer_way_becomes_usual(self) -> None:
+        for sent_at_s in range(101, 130):
+            work = self._deduct(sent_at_s, 0.2)
+        self.assertAlmostEqual(work.remaining_s, 5.0)
+
+    def test_sender_that_does_not_say_it(self) -> None:
+        self.assertEqual(
+            self.transit_times.deduct(_lookup('w'), 5.0), _lookup('w')
+        )
+
+
 class OutcomeRetentionTests(unittest.TestCase):
     """How long a daemon keeps the outcomes of forwarded work."""
 
