Limit the wait for a dial, and forget departed addresses

Cause: requests that wait while another one dials the same peer had no limit of their own; resent work, which dials at once, waited for the failed dials of all before it. Locks and pauses of addresses stayed after their hosts had left.

Change: the wait and the dial together take as long as one dial may. Closing the link to a departed peer drops its lock and pause.

Measured: ten resent requests to a peer that accepts nothing end within 1 s, and five departed addresses leave nothing; both tests are new.

--- a/src/ragwortstand/peers/streams.py
+++ b/src/ragwortstand/peers/streams.py
@@ -230,12 +230,20 @@
         link = self._connections.get(address)
         if link and not link.pending:
             self._drop(address)
+        if not link or not link.pending:
+            self._no_dial_until_s.pop(address, None)
+            self._forget_lock(address)
 
     def close(self) -> None:
         """Close all links."""
         for address in tuple(self._connections):
             self._drop(address)
 
+    def _forget_lock(self, address: PeerAddress) -> None:
+        lock = self._dial_locks.get(address)
+        if lock and not lock.statistics().locked:
+            self._dial_locks.pop(address)
+
     def _update_link_state(self, address: PeerAddress, silent_s: float) -> None:
         """Mark a link as silent or working, or reset it.
 
@@ -262,6 +270,17 @@
         link = self._connections.get(address)
         if link and not link.is_lost:
             return link
+        try:
+            with anyio.fail_after(timeout_s):
+                return await self._open_link(address, timeout_s, is_resent)
+        except TimeoutError as error:
+            problem = f'no connection within {timeout_s:g} s'
+            raise PeerError(problem, Verdict.NOT_RUN) from error
+
+    async def _open_link(
+        self, address: PeerAddress, timeout_s: float, is_resent: bool
+    ) -> _ClientConnection:
+        """Dial a peer, or wait for the request that dials it already."""
         lock = self._dial_locks.setdefault(address, anyio.Lock())
         async with lock:
             link = self._connections.get(address)
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -46,6 +46,7 @@
 )
 from tests.fakes import ListLog, member
 from tests.forwarded import new_call, new_work
+from tests.platform_fleet import free_ports
 
 _LIMIT_BYTES = 100_000
 _MEBIBYTE = 1024 * 1024
@@ -309,6 +310,47 @@
         self.assertEqual([type(one) for one in found], [PeerError] * 2)
         self.assertEqual(dials, 1)
 
+    async def test_resent_work_does_not_wait_for_the_dials_of_others(
+        self,
+    ) -> None:
+        """Resent work dials at once; its dials must not add up."""
+
+        async def dial(
+            links: StreamLinks, address: PeerAddress, timeout_s: float
+        ) -> None:
+            with anyio.fail_after(timeout_s):
+                await anyio.sleep_forever()
+
+        async with _fixture() as fixture:
+            started_s = clock.now_s()
+            with mock.patch.object(StreamLinks, '_dial', dial):
+                found = await asyncio.gather(
+                    *[
+                        fixture.links.send_request(
+                            fixture.peer.address,
+                            new_work(f'{number}', is_resent=True),
+                            0.2,
+                        )
+                        for number in range(10)
+                    ],
+                    return_exceptions=True,
+                )
+            self.assertLess(clock.now_s() - started_s, 1.0)
+        for one in found:
+            self.assertIsInstance(one, PeerError)
+            self.assertIs(one.verdict, Verdict.NOT_RUN)
+
+    async def test_departed_peers_leave_nothing(self) -> None:
+        """Addresses of hosts that are gone are not stored for ever."""
+        async with _fixture() as fixture:
+            for port in free_ports(5):
+                address = PeerAddress(f'tcp://127.0.0.1:{port}')
+                with self.assertRaises(PeerError):
+                    await fixture.links.send_request(address, AskApplied(), 1)
+                fixture.links.close_link(address)
+            self.assertEqual(fixture.links._dial_locks, {})
+            self.assertEqual(fixture.links._no_dial_until_s, {})
+
 
 class LostLinkTests(unittest.IsolatedAsyncioTestCase):
     """Work whose link is lost by a reset."""
