Open the breaker only for a server that rejects everything

Cause: four rejections in a row also come from a server that rejects a part of its requests.

Change: the breaker opens after eight rejections in a row and 0.3 s without a request that ran.

A server that rejects half of its requests at random is refused less than one in fifty.

--- a/src/ragwortstand/backend_servers/rejection_breaker.py
+++ b/src/ragwortstand/backend_servers/rejection_breaker.py
@@ -6,9 +6,11 @@
 backend servers get them at once and without a retry from the shared budget.
 """
 
-# Consecutive rejections that open the breaker. A server that rejects a third of
-# its requests at random opens it about once in a hundred.
-_OPEN_AFTER = 4
+# Consecutive rejections, and the time without a request that ran, that open the
+# breaker. A server that rejects half of its requests at random hardly opens it:
+# it still runs the others, and all servers of a service may be like it.
+_OPEN_AFTER = 8
+_OPEN_AFTER_S = 0.3
 #: Interval in which one request is sent to a server whose breaker is open.
 PROBE_INTERVAL_S = 0.25
 
@@ -26,12 +28,9 @@
     def __init__(self) -> None:
         """Create a breaker that is closed."""
         self._rejections = 0
+        self._rejecting_since_s = 0.0
         self._probe_at_s = 0.0
-
-    @property
-    def is_open(self) -> bool:
-        """Return whether most requests are refused."""
-        return self._rejections >= _OPEN_AFTER
+        self.is_open = False
 
     def allows(self, now_s: float) -> bool:
         """Return whether to send a request to the backend server.
@@ -50,10 +49,16 @@
 
         :param now_s: present time.
         """
+        if not self._rejections:
+            self._rejecting_since_s = now_s
         self._rejections += 1
-        if self._rejections == _OPEN_AFTER:
+        if self.is_open or self._rejections < _OPEN_AFTER:
+            return
+        if now_s - self._rejecting_since_s >= _OPEN_AFTER_S:
+            self.is_open = True
             self._probe_at_s = now_s + PROBE_INTERVAL_S
 
     def close(self) -> None:
         """Close the breaker, as the backend server ran a request."""
         self._rejections = 0
+        self.is_open = False
