Take no error page for content, and keep no request that has left

Cause: a page that something before the daemon sends with an error status was returned as the content of a version or as metrics; as a document it ended in a decoding error that no caller handles. The client paused after its last attempt before it gave up. With first come, first served, a request that left kept its turn, which the next one of its rank took.

Change: other statuses than 200 and unreadable documents are an AdminError; the pause is between rounds only; a ticket that leaves loses its turn.

--- a/src/ragwortstand/backend_servers/admission.py
+++ b/src/ragwortstand/backend_servers/admission.py
@@ -294,6 +294,18 @@
         self._grant_slots(now_s)
         return ticket
 
+    def leave(
+        self,
+        ticket: Ticket,
+        now_s: float,
+        *,
+        has_run: bool = True,
+    ) -> None:
+        """Return a ticket, whether it was granted a slot or not."""
+        if ticket.granted_at_s is None and ticket in self._arrivals:
+            self._arrivals.remove(ticket)
+        super().leave(ticket, now_s, has_run=has_run)
+
     def _next_rank_state(self, usable: int) -> _RankState | None:
         while self._arrivals:
             state = self._rank_states[self._arrivals.popleft().rank]
--- a/src/ragwortstand/operators/client.py
+++ b/src/ragwortstand/operators/client.py
@@ -121,9 +121,7 @@
 
     def content(self, version: Version) -> bytes:
         """Return the canonical JSON of an accepted version."""
-        return self._request_with_retries(
-            'GET', f'/v1/versions/{version}'
-        ).content
+        return self._request_content(f'/v1/versions/{version}')
 
     def members(self) -> MembersReport:
         """Return the member list of the daemon that responds."""
@@ -135,7 +133,18 @@
 
     def metrics(self) -> str:
         """Return the metrics of the daemon that responds."""
-        return self._request_with_retries('GET', '/metrics').content.decode()
+        return self._request_content('/metrics').decode()
+
+    def _request_content(self, path: str) -> bytes:
+        """Return the content of a successful response.
+
+        :raises AdminError: with any other status, such as that of a page which
+            something between here and the daemon has sent.
+        """
+        response = self._request_with_retries('GET', path)
+        if response.status != 200:
+            raise AdminError(f'{path} has no content', response.status)
+        return response.content
 
     def _request_document(
         self,
@@ -145,7 +154,11 @@
         body: bytes = b'',
     ) -> _Document:
         response = self._request_with_retries(method, path, body)
-        return msgspec.json.decode(response.content, type=document_type)
+        try:
+            return msgspec.json.decode(response.content, type=document_type)
+        except msgspec.DecodeError as error:
+            problem = f'{path} returned an unreadable document: {error}'
+            raise AdminError(problem, response.status) from error
 
     def _request_with_retries(
         self,
@@ -172,9 +185,10 @@
         raise AdminUnreachableError(problem, verdict)
 
     def _attempt_urls(self) -> Iterator[str]:
-        for _ in range(_MAX_ROUNDS):
+        for round_number in range(_MAX_ROUNDS):
+            if round_number:
+                time.sleep(_RETRY_DELAY_S)
             yield from self._urls
-            time.sleep(_RETRY_DELAY_S)
 
     def _request(
         self,
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -117,6 +117,23 @@
             simulation.served['urgent'], simulation.offered['urgent'] * 0.6
         )
 
+    def test_fifo_baseline_forgets_requests_that_left(self) -> None:
+        """A request that left gives its turn to no later one of its rank."""
+        admission = FifoAdmission()
+        admission.configure(_RANKS)
+        admission.open(1, 0, 0)
+        admission.enter('urgent', 20, 0)
+        left, first, second = (
+            admission.enter(rank, 20, 0) for rank in ('bulk', 'urgent', 'bulk')
+        )
+        assert isinstance(left, Ticket)
+        assert isinstance(first, Ticket)
+        assert isinstance(second, Ticket)
+        admission.leave(left, 1)
+        admission.open(2, 0, 1)
+        self.assertIsNotNone(first.granted_at_s)
+        self.assertIsNone(second.granted_at_s)
+
     def test_late_work_is_refused_on_arrival(self) -> None:
         """Work that would miss its deadline is refused with a retry delay."""
         admission = _admission()
