Log what responses say of their backend server, and count its requests

No line says that a server names a limit, and no metric how many requests its daemon sends to it.

Change: responses are read for a rate limit and for the server's leaving, in the platform's and in the product's own headers. A change of either is a line `ragwort:server-signals`; `ragwort_backend_requests_total` and `ragwort_backend_rate_limit_per_second` show the rate beside the limit. Nothing is decided by them yet.

--- a/src/ragwortstand/backend_servers/dialect.py
+++ b/src/ragwortstand/backend_servers/dialect.py
@@ -3,6 +3,10 @@
 from typing import Protocol
 
 from ragwortstand.backend_servers.connections import WireRequest
+from ragwortstand.backend_servers.in_band_signals import (
+    InBandSignals,
+    SignalHeaders,
+)
 from ragwortstand.calls import Call
 from ragwortstand.verdicts import Answered, Outcome
 
@@ -25,6 +29,17 @@
         :param answered: the backend server's whole response.
         """
 
+    def signals(self, answered: Answered) -> InBandSignals | None:
+        """Return what a response says of the backend server.
+
+        :param answered: the backend server's whole response.
+        :returns: None if the response says nothing of the server that the
+            request was meant for.
+        """
+
+
+_SIGNAL_HEADERS = SignalHeaders(b'ragwort-rate-limit', b'ragwort-leaving')
+
 
 class RagwortDialect:
     """Uses the product's own headers; each response counts as run."""
@@ -42,6 +57,10 @@
         """Return the response itself."""
         return answered
 
+    def signals(self, answered: Answered) -> InBandSignals | None:
+        """Return what a response says of the backend server."""
+        return _SIGNAL_HEADERS.read(answered.headers)
+
 
 def wire_request(call: Call, now_s: float) -> WireRequest:
     """Return a call with the product's own headers.
--- a/src/ragwortstand/backend_servers/request_sender.py
+++ b/src/ragwortstand/backend_servers/request_sender.py
@@ -18,6 +18,7 @@
 )
 from ragwortstand.backend_servers.dialect import BackendDialect
 from ragwortstand.backend_servers.httptools_client import HttptoolsConnection
+from ragwortstand.backend_servers.in_band_signals import InBandSignals
 from ragwortstand.backend_servers.rejection_breaker import (
     PROBE_INTERVAL_S,
     RejectionBreaker,
@@ -56,6 +57,7 @@
     :param crash_detector: distinguishes crashes from lost connections.
     :param on_down: called with the reason why the backend server is
         unreachable.
+    :param on_signals: called with what each response says of the server.
     :param log: logs when the backend server rejects requests, and when it
         runs them again.
     """
@@ -68,6 +70,7 @@
         connect: Connect,
         crash_detector: CrashDetector,
         on_down: Callable[[str], None],
+        on_signals: Callable[[InBandSignals], None],
         log: EventLog,
     ) -> None:
         """Create a sender without a backend server."""
@@ -77,6 +80,7 @@
         self._connect = connect
         self._crash_detector = crash_detector
         self._on_down = on_down
+        self._on_signals = on_signals
         self._log = log
         self._breaker = RejectionBreaker()
         self._pool: ConnectionPool | None = None
@@ -144,6 +148,9 @@
                 return await self._outcome_of_error(call, in_flight, error)
         if self._crash_detector.is_suspect(call, clock.now_s()):
             await self._crash_detector.clear(call.fingerprint)
+        signals = self._dialect.signals(answered)
+        if signals:
+            self._on_signals(signals)
         outcome = self._dialect.outcome(call, answered)
         self._update_breaker(outcome, answered.status)
         if isinstance(outcome, Refused):
--- a/src/ragwortstand/backend_servers/server.py
+++ b/src/ragwortstand/backend_servers/server.py
@@ -32,11 +32,13 @@
     RagwortDialect,
 )
 from ragwortstand.backend_servers.httptools_client import HttptoolsConnection
+from ragwortstand.backend_servers.in_band_signals import InBandSignals
 from ragwortstand.backend_servers.request_sender import RequestSender
 from ragwortstand.backend_servers.response_memory import ResponseMemoryBudget
 from ragwortstand.calls import Call
 from ragwortstand.events import Event, EventLog
 from ragwortstand.ids import ServiceName
+from ragwortstand.metrics import Metrics
 from ragwortstand.settings import DaemonSettings
 from ragwortstand.verdicts import (
     Answered,
@@ -70,6 +72,7 @@
     :param admission: admission policy; None takes that of the settings.
     :param connect: opens connections to the backend server; None takes those
         of httptools, whose responses share the memory limit of the settings.
+    :param metrics: counts the requests sent; None counts them nowhere.
     """
 
     def __init__(
@@ -79,12 +82,15 @@
         dialect: BackendDialect | None = None,
         admission: Admission | None = None,
         connect: Connect | None = None,
+        metrics: Metrics | None = None,
     ) -> None:
         """Create a runner that knows no backend server yet."""
         self._settings = settings.backend_server
         self._log = log
         self._admission = admission or _admission_for(settings)
+        self._metrics = (metrics or Metrics()).backend_server
         self._departures = Departures()
+        self._signals = InBandSignals()
         self._suspect_lock = anyio.Lock()
         self._announced_at_s = 0.0
         self._cold_start_s: dict[str, float] = {}
@@ -98,6 +104,7 @@
             connect or _connect_for(settings),
             self.crash_detector,
             self._mark_down,
+            self._apply_signals,
             log,
         )
         self.is_owner: Callable[[Call], bool] = _always_here
@@ -308,14 +315,31 @@
             return Refused(Cause.DEADLINE)
         if refusal or self.announcement is None:
             return refusal or Refused(Cause.BACKEND_SERVER_DOWN)
+        self._metrics.requests.inc()
         return await self._request_sender.run(call)
 
     def _handle_restart(self, announcement: Announcement, now_s: float) -> None:
         self._request_sender.open(announcement)
+        self._apply_signals(InBandSignals())
         cold_start_s = self._cold_start_s.get(announcement.service, 0)
         cold_start_s = max(cold_start_s, announcement.cold_s)
         self._admission.open(announcement.slots, cold_start_s, now_s)
 
+    def _apply_signals(self, signals: InBandSignals) -> None:
+        """Record and log a change of what the backend server says of itself."""
+        if signals == self._signals:
+            return
+        self._signals = signals
+        limit_per_s = signals.rate_limit_per_s
+        self._metrics.set_rate_limit(limit_per_s)
+        self._log.emit(
+            Event.SERVER_SIGNALS,
+            instance=self.announcement.instance if self.announcement else '',
+            rate_limit_per_s=limit_per_s,
+            is_leaving=signals.is_leaving,
+            problem=signals.problem,
+        )
+
     def _mark_down(self, problem: str) -> None:
         if self.state is BackendState.READY:
             self._set_state(BackendState.DOWN, problem)
--- a/src/ragwortstand/daemon.py
+++ b/src/ragwortstand/daemon.py
@@ -239,6 +239,7 @@
             settings,
             self._log,
             connect=_CONNECT_BY_CLIENT[settings.backend_server.client],
+            metrics=self._metrics,
         )
         self._backend_server.on_change = self._on_backend_server
         self._backend_server.is_owner = lambda call: self._key_owners.is_owner(
--- a/src/ragwortstand/metrics.py
+++ b/src/ragwortstand/metrics.py
@@ -25,6 +25,37 @@
 )
 
 
+# Value of the gauge while a backend server names no limit.
+_NO_RATE_LIMIT = -1
+
+
+class BackendServerMetrics:
+    """Metrics of the backend server on the daemon's host.
+
+    :param registry: registers the metrics.
+    """
+
+    def __init__(self, registry: CollectorRegistry) -> None:
+        """Create and register the metrics."""
+        self.requests = Counter(
+            'ragwort_backend_requests',
+            'Requests sent to the backend server of this host',
+            registry=registry,
+        )
+        self._rate_limit_per_s = Gauge(
+            'ragwort_backend_rate_limit_per_second',
+            'Requests per second that the server takes; -1 for no limit',
+            registry=registry,
+        )
+        self.set_rate_limit(None)
+
+    def set_rate_limit(self, limit_per_s: float | None) -> None:
+        """Set the limit that the backend server names; None for no limit."""
+        self._rate_limit_per_s.set(
+            _NO_RATE_LIMIT if limit_per_s is None else limit_per_s
+        )
+
+
 class Metrics:
     """All metrics of one daemon, in their own registry."""
 
@@ -32,6 +63,7 @@
         """Create and register the metrics."""
         registry = CollectorRegistry()
         self._registry = registry
+        self._backend_server = BackendServerMetrics(registry)
         self.offered = Counter(
             'ragwort_offered',
             'Requests that callers sent',
@@ -107,6 +139,11 @@
         self._outcome_children: dict[tuple[str, str, str], Counter] = {}
         self._latency_children: dict[str, Histogram] = {}
 
+    @property
+    def backend_server(self) -> BackendServerMetrics:
+        """Return the metrics of the backend server on this host."""
+        return self._backend_server
+
     def count_outcome(
         self,
         rank: str,
--- a/src/ragwortstand/platform/headers.py
+++ b/src/ragwortstand/platform/headers.py
@@ -8,6 +8,10 @@
 from types import MappingProxyType
 
 from ragwortstand.backend_servers.connections import WireRequest, end_to_end
+from ragwortstand.backend_servers.in_band_signals import (
+    InBandSignals,
+    SignalHeaders,
+)
 from ragwortstand.callers.proxy import ParsedRequest
 from ragwortstand.calls import Call
 from ragwortstand.http_server import CallerRequest
@@ -32,6 +36,9 @@
 STAMP = b'x-ragwortstand-server-stamp'
 # Set where a backend server did not run a request.
 NOT_RUN = b'x-ragwortstand-not-run'
+# Requests a second that a backend server takes from all hosts, while it is in
+# need; `1` from one that is about to stop.
+SIGNALS = SignalHeaders(b'server-limit', b'server-leaving')
 
 _HOST = b'host'
 _CONNECTION = b'connection'
@@ -137,6 +144,19 @@
             return Unknown(Cause.WRONG_ANSWER)
         return answered
 
+    def signals(self, answered: Answered) -> InBandSignals | None:
+        """Return what a response says of the backend server.
+
+        The absence of a limit counts only in a signed response; others may
+        come from something before the server.
+        """
+        if answered.status == _MISDIRECTED_REQUEST:
+            return None
+        is_signed = any(name == STAMP for name, _ in answered.headers)
+        if not is_signed and not SIGNALS.occur_in(answered.headers):
+            return None
+        return SIGNALS.read(answered.headers)
+
 
 # A backend server rejects requests while it is full or failing; its daemon
 # may send the next request after this time.
--- a/src/ragwortstand/sidecar.py
+++ b/src/ragwortstand/sidecar.py
@@ -287,6 +287,7 @@
             self._log,
             self._dependencies.backend_servers,
             LatencyObjectiveAdmission(),
+            metrics=self._metrics,
         )
         self._backend_server.on_change = self._on_backend_server
         self._gate.subscribe(self._backend_server.configure)
