--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -19,7 +19,7 @@
 from ragwortstand.http_server import CallerRequest, HttpServer
 from ragwortstand.models import CallerLimits
 from ragwortstand.sockets import bind, port_of
-from ragwortstand.verdicts import Answered, Verdict
+from ragwortstand.verdicts import Answered, Headers, Verdict
 from tests.fakes import ListLog
 from tests.store_standin import StoreStandin
 
@@ -42,6 +42,7 @@
 
     :ivar delay_s: how long each request takes.
     :ivar seen: requests that it ran.
+    :ivar signals: headers that it adds to each response.
     """
 
     instance: str
@@ -51,6 +52,7 @@
     port: int = 0
     sequence: int = 0
     state: str = 'ready'
+    signals: Headers = ()
 
     async def answer(self, request: CallerRequest) -> Answered:
         """Run a request; refuse one for another instance."""
@@ -62,7 +64,8 @@
         await anyio.sleep(self.delay_s)
         own = (STAMP, self.instance.encode())
         echo = (REQUEST_ID, headers.get(REQUEST_ID, b''))
-        return Answered(200, (own, echo), self.instance.encode())
+        headers_sent = (own, echo, *self.signals)
+        return Answered(200, headers_sent, self.instance.encode())
 
 
 @dataclass
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -33,7 +33,7 @@
     async def test_requests_reach_their_service_over_two_hops(self) -> None:
         async with running_fleet(_SERVICES, row_of(7)) as fleet:
             outside = fleet.hosts[2]
-            await _wait_until_serving(fleet, outside)
+            await wait_until_serving(fleet, outside)
             answered = await fleet.ask(outside, f'{_PATH}?q=1', 'id-1')
             assert answered is not None
             headers = dict(answered.headers)
@@ -56,7 +56,7 @@
 
     async def test_services_get_their_weights(self) -> None:
         async with running_fleet(_SERVICES, row_of(7)) as fleet:
-            await _wait_until_serving(fleet, fleet.hosts[0])
+            await wait_until_serving(fleet, fleet.hosts[0])
             served = Counter()
             for number in range(100):
                 answered = await fleet.ask(fleet.hosts[0], _PATH, f'w{number}')
@@ -76,7 +76,7 @@
     async def test_new_version_is_in_force_everywhere_in_time(self) -> None:
         moved = row_of(9).replace(b'/lepu/"', b'/moved/"')
         async with running_fleet(_SERVICES, row_of(7)) as fleet:
-            await _wait_until_serving(fleet, fleet.hosts[0])
+            await wait_until_serving(fleet, fleet.hosts[0])
             fleet.store.put('op', 'config', moved)
             for host in fleet.hosts:
 
@@ -92,7 +92,7 @@
         self,
     ) -> None:
         async with running_fleet(_SERVICES, row_of(7)) as fleet:
-            await _wait_until_serving(fleet, fleet.hosts[0])
+            await wait_until_serving(fleet, fleet.hosts[0])
             leaving = fleet.hosts[0]
             leaving.backend_server.state = 'draining'
             answered = await fleet.heartbeat(leaving)
@@ -106,7 +106,7 @@
 
     async def test_deregistered_server_does_not_come_back(self) -> None:
         async with running_fleet(_SERVICES, row_of(7)) as fleet:
-            await _wait_until_serving(fleet, fleet.hosts[0])
+            await wait_until_serving(fleet, fleet.hosts[0])
             leaving = fleet.hosts[0]
             leaving.backend_server.state = 'gone'
             path = (
@@ -131,7 +131,7 @@
                 request = WireRequest('POST', path, (), body)
                 answered = await fleet.call(host, 'control', request)
                 self.assertEqual(answered and answered.status, 400)
-            await _wait_until_serving(fleet, host)
+            await wait_until_serving(fleet, host)
 
 
 class StopTests(unittest.IsolatedAsyncioTestCase):
@@ -139,7 +139,7 @@
 
     async def test_no_request_is_lost(self) -> None:
         async with running_fleet(_SERVICES, row_of(7)) as fleet:
-            await _wait_until_serving(fleet, fleet.hosts[2])
+            await wait_until_serving(fleet, fleet.hosts[2])
             for host in fleet.hosts:
                 host.backend_server.delay_s = 0.2
             stopped = fleet.hosts[0]
@@ -167,7 +167,7 @@
     async def test_requests_until_the_exit_are_answered(self) -> None:
         async with running_fleet(_SERVICES, row_of(7)) as fleet:
             stopped = fleet.hosts[0]
-            await _wait_until_serving(fleet, stopped)
+            await wait_until_serving(fleet, stopped)
             for host in fleet.hosts:
                 host.backend_server.delay_s = 0.1
             before = fleet.lost
@@ -187,7 +187,7 @@
             self.assertEqual(fleet.lost, before)
 
 
-async def _wait_until_serving(fleet: Fleet, host: Host) -> None:
+async def wait_until_serving(fleet: Fleet, host: Host) -> None:
     """Wait until requests from a host reach both services."""
     kinds: set[bytes] = set()
     number = 0
--- /dev/null
+++ b/tests/test_server_rate_limit.py
@@ -0,0 +1,68 @@
+"""A backend server names the requests per second that it takes from all."""
+
+import unittest
+
+import anyio
+
+from ragwortstand import clock
+from tests.platform_fleet import Fleet, running_fleet
+from tests.test_platform_configuration import row_of
+from tests.test_platform_path import wait_until_serving
+
+_LIMIT_PER_S = 20.0
+_WINDOW_S = 4.0
+# What the users allow in a window, beyond the limit itself.
+_TOLERANCE = 1.5
+_TOLERATED_REQUESTS = 5
+_PATH = '/lepu/2f'
+_SERVICES = ['huvo', 'huvo', 'kafi']
+_RATE_PER_S = 100
+_LOAD_S = 6.0
+# Requests of hosts that have heard of the limit for this time are counted.
+_NOTICE_S = 0.5
+
+
+async def _send_load(fleet: Fleet) -> list[int]:
+    """Send requests to all hosts in turn; return the statuses."""
+    statuses: list[int] = []
+
+    async def ask(number: int) -> None:
+        host = fleet.hosts[number % len(fleet.hosts)]
+        answered = await fleet.ask(host, _PATH, f'l{number}')
+        statuses.append(answered.status if answered else 0)
+
+    async with anyio.create_task_group() as tasks:
+        for number in range(int(_RATE_PER_S * _LOAD_S)):
+            tasks.start_soon(ask, number)
+            await anyio.sleep(1 / _RATE_PER_S)
+    return statuses
+
+
+def _most_in_window(times_s: list[float]) -> int:
+    return max(
+        sum(start_s <= at_s < start_s + _WINDOW_S for at_s in times_s)
+        for start_s in times_s
+    )
+
+
+class FleetTests(unittest.IsolatedAsyncioTestCase):
+    """Requests of all hosts to a server with a limit."""
+
+    async def test_requests_of_all_hosts_together_keep_to_the_limit(
+        self,
+    ) -> None:
+        """Guards against sending a server all that it could run."""
+        async with running_fleet(_SERVICES, row_of(7)) as fleet:
+            await wait_until_serving(fleet, fleet.hosts[0])
+            limited = fleet.hosts[0].backend_server
+            limited.signals = ((b'server-limit', b'%g' % _LIMIT_PER_S),)
+            named_at_s = clock.now_s()
+            statuses = await _send_load(fleet)
+        arrivals_s = [
+            request.arrived_at_s
+            for request in limited.seen
+            if request.arrived_at_s > named_at_s + _NOTICE_S
+        ]
+        allowed = _LIMIT_PER_S * _WINDOW_S * _TOLERANCE + _TOLERATED_REQUESTS
+        self.assertLessEqual(_most_in_window(arrivals_s), allowed)
+        self.assertEqual(set(statuses), {200})
