Hold the requests to a backend server to the rate that it names

Cause: no daemon acted on the limit in the servers' responses. Class of fault: a signal of a downstream that is passed on to callers but is no input of any decision.

Evidence: arrivals at both servers went on as before when the limit was named (69 and 99 a second before, 67 and 91 after), like those at the servers without one, and the servers turned nothing away. That rules out hypothesis 2 (each host keeps to the limit alone: arrivals would have changed) and 3 (the excess is repeats: first attempts would have fallen).

Change: a token bucket in the daemon beside the server, which all requests to that server pass, whichever host they began on. It is empty when a limit is named. A request without a token is refused before it waits for a slot; its daemon tries the other servers and spares this one until the next token is due. The most urgent rank has half of the bucket to itself. A limit is valid until a response of the same boot has another one or none.

In the model two of six servers limited to 40 % of what they get keep to it and use over four fifths of it, over 99 % of both ranks are in time; with all limited to four fifths of the load, over 97 % of the urgent requests are served and bulk is refused within 0.125 s.

--- /dev/null
+++ b/src/ragwortstand/backend_servers/rate_limiter.py
@@ -0,0 +1,118 @@
+"""ragwortstand.backend_servers.rate_limiter: a token bucket.
+
+A backend server in need names the requests per second that it takes from all
+hosts together. All of them go through the daemon on its host, so this daemon
+alone keeps the sum to that rate, whichever other daemons join, restart or are
+cut off.
+"""
+
+from collections.abc import Iterable
+
+from ragwortstand.models import Rank
+from ragwortstand.verdicts import Cause, Refused
+
+# Requests that may be sent at once after a pause, as a time at the named rate.
+_DEPTH_S = 0.25
+# Share of the bucket that is kept for the most urgent rank.
+_URGENT_SHARE = 0.5
+# A server that gets no requests can't withdraw its limit, so a limit of zero
+# lets one request through in this time.
+_MAX_INTERVAL_S = 5.0
+# Shortest retry delay of a refusal; shorter times are within the jitter of the
+# network between caller and daemon.
+_MIN_RETRY_AFTER_S = 0.05
+
+
+class RateLimiter:
+    """Holds the requests to a backend server to the rate that it names.
+
+    Usage::
+
+        >>> limiter = RateLimiter()
+        >>> limiter.set_limit(20.0, now_s=0.0)
+        >>> limiter.take(now_s=0.0)
+        Refused(cause=<Cause.RATE_LIMITED: 'rate-limited'>, retry_after_s=0.05)
+
+    :ivar limit_per_s: requests per second that the server takes; None without
+        a limit.
+    """
+
+    def __init__(self) -> None:
+        """Create a limiter without a limit."""
+        self.limit_per_s: float | None = None
+        self._tokens = 0.0
+        self._updated_at_s = 0.0
+        self._most_urgent_rank = ''
+
+    def configure(self, ranks: Iterable[Rank]) -> None:
+        """Apply the ranks of a new configuration.
+
+        :param ranks: from the most to the least urgent.
+        """
+        self._most_urgent_rank = next((rank.name for rank in ranks), '')
+
+    def set_limit(self, limit_per_s: float | None, now_s: float) -> None:
+        """Apply the limit that the backend server named last.
+
+        The bucket is empty at first, because the server has just got more
+        requests than it takes.
+
+        :param limit_per_s: requests per second; None for no limit.
+        :param now_s: present time.
+        """
+        if limit_per_s == self.limit_per_s:
+            return
+        if self.limit_per_s is None:
+            self._tokens = 0.0
+            self._updated_at_s = now_s
+        else:
+            self._refill(now_s)
+        self.limit_per_s = limit_per_s
+        self._tokens = min(self._tokens, self._depth)
+
+    def refusal(self, rank: str, queued: int, now_s: float) -> Refused | None:
+        """Return the refusal of a request that the limit leaves no room for.
+
+        Other ranks than the most urgent one leave a part of the bucket to it.
+
+        :param rank: name of its rank.
+        :param queued: requests that wait for a slot and have no token yet.
+        :param now_s: present time.
+        """
+        needed = queued + 1.0
+        if self._most_urgent_rank not in {'', rank}:
+            needed += min(self._depth * _URGENT_SHARE, self._depth - 1)
+        return self._refusal_below(needed, now_s)
+
+    def take(self, now_s: float) -> Refused | None:
+        """Take the token of a request that is sent now, or return its refusal.
+
+        :param now_s: present time.
+        """
+        refusal = self._refusal_below(1, now_s)
+        if refusal is None and self.limit_per_s is not None:
+            self._tokens -= 1
+        return refusal
+
+    @property
+    def _rate_per_s(self) -> float:
+        return max(self.limit_per_s or 0.0, 1 / _MAX_INTERVAL_S)
+
+    @property
+    def _depth(self) -> float:
+        return max(1.0, self._rate_per_s * _DEPTH_S)
+
+    def _refusal_below(self, needed: float, now_s: float) -> Refused | None:
+        if self.limit_per_s is None:
+            return None
+        self._refill(now_s)
+        missing = needed - self._tokens
+        if missing <= 0:
+            return None
+        wait_s = missing / self._rate_per_s
+        return Refused(Cause.RATE_LIMITED, max(_MIN_RETRY_AFTER_S, wait_s))
+
+    def _refill(self, now_s: float) -> None:
+        added = (now_s - self._updated_at_s) * self._rate_per_s
+        self._tokens = min(self._depth, self._tokens + max(0.0, added))
+        self._updated_at_s = now_s
--- a/src/ragwortstand/backend_servers/server.py
+++ b/src/ragwortstand/backend_servers/server.py
@@ -33,6 +33,7 @@
 )
 from ragwortstand.backend_servers.httptools_client import HttptoolsConnection
 from ragwortstand.backend_servers.in_band_signals import InBandSignals
+from ragwortstand.backend_servers.rate_limiter import RateLimiter
 from ragwortstand.backend_servers.request_sender import RequestSender
 from ragwortstand.backend_servers.response_memory import ResponseMemoryBudget
 from ragwortstand.calls import Call
@@ -91,6 +92,7 @@
         self._metrics = (metrics or Metrics()).backend_server
         self._departures = Departures()
         self._signals = InBandSignals()
+        self._rate_limiter = RateLimiter()
         self._suspect_lock = anyio.Lock()
         self._announced_at_s = 0.0
         self._cold_start_s: dict[str, float] = {}
@@ -132,6 +134,7 @@
     def configure(self, snapshot: Snapshot) -> None:
         """Apply the ranks and services of a new configuration."""
         self._admission.configure(snapshot.configuration.ranks)
+        self._rate_limiter.configure(snapshot.configuration.ranks)
         self._cold_start_s = {
             service.name: service.cold_start_s
             for service in snapshot.configuration.services
@@ -249,6 +252,7 @@
             slots=load.slots,
             in_use=load.in_use,
             queued=load.queued,
+            rate_limit_per_s=self._rate_limiter.limit_per_s,
             service_s=round(load.service_s, 4),
             goal_left_s=round(goal_s - now_s, 4),
             deadline_left_s=round(call.deadline_s - now_s, 4),
@@ -275,10 +279,15 @@
         return None if self.is_owner(call) else Refused(Cause.SUSPECT)
 
     async def _run_admitted(self, call: Call, claim: ClaimStep) -> Outcome:
+        now_s = clock.now_s()
+        queued = self._admission.load(now_s).queued
+        refusal = self._rate_limiter.refusal(call.rank.name, queued, now_s)
+        if refusal:
+            return refusal
         ticket = self._admission.enter(
             call.rank.name,
             call.deadline_s,
-            clock.now_s(),
+            now_s,
             goal_s=call.goal_s,
         )
         if isinstance(ticket, Refused):
@@ -300,13 +309,14 @@
     ) -> Outcome:
         if ticket.granted_at_s is None:
             await ticket.granted.wait()
-        if ticket.refusal:
-            return ticket.refusal
+        refusal = ticket.refusal or self._rate_limiter.take(clock.now_s())
+        if refusal:
+            return refusal
         if not self.crash_detector.is_suspect(call, clock.now_s()):
             return await claim() or await self._send(call)
         async with self._suspect_lock:
-            refusal = self._crash_refusal(call) or await claim()
-            return refusal or await self._send(call)
+            declined = self._crash_refusal(call) or await claim()
+            return declined or await self._send(call)
 
     async def _send(self, call: Call) -> Outcome:
         refusal = self._refusal(call)
@@ -326,11 +336,14 @@
         self._admission.open(announcement.slots, cold_start_s, now_s)
 
     def _apply_signals(self, signals: InBandSignals) -> None:
-        """Record and log a change of what the backend server says of itself."""
+        """Apply and log a change of what the backend server says of itself."""
         if signals == self._signals:
             return
         self._signals = signals
         limit_per_s = signals.rate_limit_per_s
+        if signals.problem:
+            limit_per_s = self._rate_limiter.limit_per_s
+        self._rate_limiter.set_limit(limit_per_s, clock.now_s())
         self._metrics.set_rate_limit(limit_per_s)
         self._log.emit(
             Event.SERVER_SIGNALS,
--- a/src/ragwortstand/peers/latency_objective_choice.py
+++ b/src/ragwortstand/peers/latency_objective_choice.py
@@ -16,7 +16,13 @@
 from ragwortstand.models import Rank
 from ragwortstand.peers.choice import Locality
 from ragwortstand.peers.messages import Member
-from ragwortstand.verdicts import Answered, Cause, Outcome
+from ragwortstand.verdicts import (
+    Answered,
+    Cause,
+    Outcome,
+    Refused,
+    Unknown,
+)
 
 # Round trip times by distance, see `Locality.distance`: this host, this
 # availability zone, this region, another region. Links take 1 ms between zones
@@ -235,11 +241,13 @@
             return
         if not isinstance(outcome, Answered):
             if outcome.cause is Cause.OVERLOADED:
-                signal.refused_until_s = now_s + _REFUSAL_PAUSE_S
                 signal.busy = busy
                 signal.updated_at_s = now_s
             elif outcome.cause in _FAILURE_CAUSES:
                 _update_failure_rate(signal, 1.0, now_s)
+            signal.refused_until_s = max(
+                signal.refused_until_s, now_s + _pause_s(outcome)
+            )
             return
         signal.blocks = 0
         signal.busy = busy
@@ -408,6 +416,15 @@
         signal.blocked_until_s = now_s + block_s
 
 
+def _pause_s(outcome: Refused | Unknown) -> float:
+    """Return for how long a server costs at least a whole target."""
+    if not isinstance(outcome, Refused):
+        return 0.0
+    if outcome.cause is Cause.RATE_LIMITED:
+        return outcome.retry_after_s
+    return _REFUSAL_PAUSE_S if outcome.cause is Cause.OVERLOADED else 0.0
+
+
 def _update_failure_rate(signal: _Signal, failed: float, now_s: float) -> None:
     signal.failure_rate += _FAILURE_SMOOTHING_FACTOR * (
         failed - signal.failure_rate
--- a/src/ragwortstand/tools/model/fleet.py
+++ b/src/ragwortstand/tools/model/fleet.py
@@ -17,6 +17,7 @@
 
 from ragwortstand import clock
 from ragwortstand.backend_servers.admission import Admission, Load, Ticket
+from ragwortstand.backend_servers.rate_limiter import RateLimiter
 from ragwortstand.backend_servers.rejection_breaker import (
     PROBE_INTERVAL_S,
     RejectionBreaker,
@@ -77,6 +78,8 @@
         self._server = daemon.server
         self._rng = daemon.fleet.rng
         self._breaker = RejectionBreaker()
+        self._rate_limiter = RateLimiter()
+        self._rate_limiter.configure(daemon.fleet.ranks)
         self.admission = admission
         admission.configure(daemon.fleet.ranks)
         admission.open(self._server.slots, 0, 0)
@@ -84,6 +87,10 @@
     async def run(self, call: Call) -> Outcome:
         """Run a request on this server and return its outcome."""
         now_s = clock.now_s()
+        queued = self.admission.load(now_s).queued
+        refusal = self._rate_limiter.refusal(call.rank.name, queued, now_s)
+        if refusal:
+            return refusal
         ticket = self.admission.enter(
             call.rank.name, call.deadline_s, now_s, goal_s=call.goal_s
         )
@@ -102,8 +109,9 @@
     async def _run_when_granted(self, call: Call, ticket: Ticket) -> Outcome:
         if ticket.granted_at_s is None:
             await ticket.granted.wait()
-        if ticket.refusal:
-            return ticket.refusal
+        refusal = ticket.refusal or self._rate_limiter.take(clock.now_s())
+        if refusal:
+            return refusal
         faults = self._active_faults()
         if not self._breaker.allows(clock.now_s()):
             return Refused(Cause.BACKEND_SERVER_DOWN, PROBE_INTERVAL_S)
@@ -113,16 +121,29 @@
             return Refused(Cause.REJECTED, _REJECTED_RETRY_AFTER_S)
         self._breaker.close()
         call.is_dispatched = True
+        self._daemon.arrivals_s.append(clock.now_s())
         slowdown = math.prod(one.slowdown for one in faults)
         kind = self._daemon.fleet.kind_of(call)
         spread = self._rng.uniform(1 - kind.spread, 1 + kind.spread)
         await anyio.sleep(kind.work_s * spread * slowdown / self._server.speed)
+        self._name_limit()
         for called in kind.calls:
             outcome = await self._daemon.send(called, call.deadline_s)
             if not _is_served(outcome):
                 return Answered(_SERVER_ERROR, (), b'')
         return Answered(200, (), b'')
 
+    def _name_limit(self) -> None:
+        """Name the present limit with a response."""
+        limits_per_s = [
+            fault.rate_limit_per_s
+            for fault in self._active_faults()
+            if fault.rate_limit_per_s is not None
+        ]
+        self._rate_limiter.set_limit(
+            min(limits_per_s, default=None), clock.now_s()
+        )
+
     def _active_faults(self) -> list[Fault]:
         now_s = clock.now_s()
         return [
@@ -140,6 +161,7 @@
         self.fleet = fleet
         self.server = server
         self.rejected = 0
+        self.arrivals_s: list[float] = []
         self.locality = Locality(
             HostId(server.host),
             ZoneName(server.zone),
--- a/src/ragwortstand/tools/model/plans.py
+++ b/src/ragwortstand/tools/model/plans.py
@@ -76,13 +76,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Fault:
-    """Slow or rejecting backend servers during part of a run.
+    """Slow, rejecting or limited backend servers during part of a run.
 
     :param hosts: hosts of the affected servers.
     :param from_s: start within the run.
     :param until_s: end within the run.
     :param slowdown: factor on the service time.
     :param rejected_share: share of the requests that are rejected immediately.
+    :param rate_limit_per_s: requests per second that each server names as its
+        limit; None for no limit.
     """
 
     hosts: frozenset[str]
@@ -90,6 +92,7 @@
     until_s: float
     slowdown: float = 1.0
     rejected_share: float = 0.0
+    rate_limit_per_s: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/ragwortstand/verdicts.py
+++ b/src/ragwortstand/verdicts.py
@@ -29,6 +29,7 @@
     NO_BACKEND_SERVER = 'no-backend-server'
     BACKEND_SERVER_DOWN = 'backend-server-down'
     OVERLOADED = 'overloaded'
+    RATE_LIMITED = 'rate-limited'
     DEADLINE = 'deadline'
     LEAVING = 'leaving'
     CONNECTION_LOST = 'connection-lost'
--- /dev/null
+++ b/tests/test_rate_limited_servers.py
@@ -0,0 +1,204 @@
+"""Backend servers in need name fewer requests a second than they get."""
+
+import random
+import unittest
+from dataclasses import replace
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ragwortstand.backend_servers.rate_limiter import RateLimiter
+from ragwortstand.models import Rank
+from ragwortstand.tools.model import (
+    Fault,
+    FleetModel,
+    RequestKind,
+    Scenario,
+    Server,
+    Stream,
+    run_in_virtual_time,
+)
+from ragwortstand.tools.model.report import (
+    RankFigures,
+    compute_figures,
+    sidecar_policy,
+)
+
+_URGENT = Rank(name='urgent', target_s=0.25)
+_BULK = Rank(name='bulk', target_s=1.0)
+# What the users allow in a window, beyond the limit itself.
+_WINDOW_S = 4.0
+_TOLERANCE = 1.5
+_TOLERATED_REQUESTS = 5
+_ZONES = tuple(
+    (f'r{number % 3}-{number % 6}', f'r{number % 3}') for number in range(6)
+)
+_LOOKUP = RequestKind(_URGENT, 'consult', 0.06, deadline_s=1.5)
+_EXPORT = RequestKind(_BULK, 'consult', 0.06, deadline_s=3.0)
+_LIMITED_FROM_S = 2.0
+_UNTIL_S = 10.0
+# Responses that began before the limit take a service time to end.
+_NOTICE_S = 0.5
+
+
+def _most_in_window(times_s: list[float]) -> int:
+    return max(
+        (
+            sum(start_s <= at_s < start_s + _WINDOW_S for at_s in times_s)
+            for start_s in times_s
+        ),
+        default=0,
+    )
+
+
+def _allowed(limit_per_s: float) -> float:
+    return limit_per_s * _WINDOW_S * _TOLERANCE + _TOLERATED_REQUESTS
+
+
+class RateLimiterTests(unittest.TestCase):
+    """When requests are sent to a server that names a limit."""
+
+    def setUp(self) -> None:
+        """Create a limiter without a limit."""
+        self.limiter = RateLimiter()
+        self.limiter.configure((_URGENT, _BULK))
+
+    def _send(self, rank: Rank, now_s: float) -> bool:
+        if self.limiter.refusal(rank.name, 0, now_s):
+            return False
+        return self.limiter.take(now_s) is None
+
+    def test_without_a_limit_all_are_sent(self) -> None:
+        self.assertTrue(all(self._send(_BULK, 0) for _ in range(1000)))
+
+    @given(
+        st.floats(0, 500),
+        st.lists(st.floats(0, 0.5), min_size=1, max_size=400),
+    )
+    def test_no_window_gets_more_than_the_limit_allows(
+        self, limit_per_s: float, pauses_s: list[float]
+    ) -> None:
+        self.setUp()
+        self.limiter.set_limit(limit_per_s, 0)
+        now_s, sent_s = 0.0, []
+        for pause_s in pauses_s:
+            now_s += pause_s
+            sent_s.extend(
+                now_s for _ in range(50) if self._send(_URGENT, now_s)
+            )
+        self.assertLessEqual(_most_in_window(sent_s), _allowed(limit_per_s))
+
+    def test_the_whole_rate_is_used(self) -> None:
+        for rank in (_URGENT, _BULK):
+            self.setUp()
+            self.limiter.set_limit(30, 0)
+            sent = sum(self._send(rank, step / 1000) for step in range(10000))
+            self.assertGreater(sent, 30 * 10 * 0.95)
+
+    def test_first_second_counts(self) -> None:
+        """A server that names a limit has just got too much."""
+        self.limiter.set_limit(30, 0)
+        sent = sum(self._send(_URGENT, step / 1000) for step in range(1000))
+        self.assertLessEqual(sent, 30)
+
+    def test_most_urgent_rank_goes_first(self) -> None:
+        self.limiter.set_limit(30, 0)
+        sent = {_URGENT.name: 0, _BULK.name: 0}
+        rng = random.Random(3)
+        for step in range(1, 10000):
+            for rank in rng.sample((_URGENT, _BULK), 2):
+                if rank is _BULK or step % 50 == 0:
+                    sent[rank.name] += self._send(rank, step / 1000)
+        self.assertGreater(sent[_URGENT.name], 195)
+        self.assertGreater(sent[_BULK.name], 80)
+
+    def test_lower_limit_counts_at_once(self) -> None:
+        self.limiter.set_limit(100, 0)
+        self.limiter.set_limit(10, 1)
+        sent = sum(self._send(_URGENT, 1 + step / 1000) for step in range(1000))
+        self.assertLessEqual(sent, 13)
+
+    def test_limit_that_is_withdrawn_no_longer_counts(self) -> None:
+        self.limiter.set_limit(1, 0)
+        self.limiter.set_limit(None, 1)
+        self.assertTrue(all(self._send(_BULK, 1) for _ in range(100)))
+
+    def test_zero_lets_a_request_ask_again(self) -> None:
+        """A server that gets nothing could not withdraw its limit."""
+        self.limiter.set_limit(0, 0)
+        sent = sum(self._send(_BULK, step / 100) for step in range(3000))
+        self.assertIn(sent, range(4, 8))
+
+    def test_retry_delay_follows_the_rate(self) -> None:
+        self.limiter.set_limit(2, 0)
+        refusal = self.limiter.take(0)
+        assert refusal is not None
+        self.assertAlmostEqual(refusal.retry_after_s, 0.5)
+
+    def test_paused_daemon_sends_no_backlog(self) -> None:
+        self.limiter.set_limit(20, 0)
+        sent = sum(self._send(_URGENT, 60) for _ in range(200))
+        self.assertLessEqual(sent, 5)
+
+
+class SomeServersLimitedTests(unittest.TestCase):
+    """Two of six servers take 40 % of what they get."""
+
+    def setUp(self) -> None:
+        """Create a server in each zone, with a third of its slots in use."""
+        servers = tuple(
+            Server(f's{number}', zone, region, 'consult')
+            for number, (zone, region) in enumerate(_ZONES)
+        )
+        streams = tuple(
+            Stream(kind, zone, rate_per_s, until_s=_UNTIL_S)
+            for kind, rate_per_s in ((_LOOKUP, 60), (_EXPORT, 15))
+            for zone, _ in _ZONES
+        )
+        self.limit_per_s = 30.0
+        self.limited = ('s0', 's4')
+        fault = Fault(
+            frozenset(self.limited),
+            _LIMITED_FROM_S,
+            _UNTIL_S,
+            rate_limit_per_s=self.limit_per_s,
+        )
+        self.scenario = Scenario(servers, streams, (fault,))
+
+    def _simulate(
+        self, scenario: Scenario
+    ) -> tuple[dict[str, RankFigures], FleetModel]:
+        model = FleetModel(scenario, sidecar_policy(), 3)
+        return compute_figures(run_in_virtual_time(model.simulate)), model
+
+    def test_their_requests_run_elsewhere(self) -> None:
+        figures, model = self._simulate(self.scenario)
+        for host in self.limited:
+            counted_s = [
+                at_s
+                for at_s in model.daemons[host].arrivals_s
+                if at_s > _LIMITED_FROM_S + _NOTICE_S
+            ]
+            self.assertLessEqual(
+                _most_in_window(counted_s), _allowed(self.limit_per_s)
+            )
+            spent_s = _UNTIL_S - _LIMITED_FROM_S - _NOTICE_S
+            self.assertGreater(len(counted_s), self.limit_per_s * spent_s * 0.8)
+        self.assertGreater(figures['urgent'].in_goal, 0.99)
+        self.assertGreater(figures['bulk'].in_goal, 0.99)
+        self.assertEqual(figures['urgent'].refused, 0)
+
+    def test_all_limited_refuse_at_once_and_serve_urgent_work(self) -> None:
+        """Each takes 60 a second of 75, so that a fifth has to be refused."""
+        everywhere = Fault(
+            frozenset(server.host for server in self.scenario.servers),
+            0,
+            _UNTIL_S,
+            rate_limit_per_s=60.0,
+        )
+        limited = replace(self.scenario, faults=(everywhere,))
+        figures, _ = self._simulate(limited)
+        self.assertGreater(figures['urgent'].served, 0.97)
+        self.assertGreater(figures['urgent'].in_goal, 0.93)
+        self.assertGreater(figures['bulk'].refused, 0.1)
+        self.assertLess(figures['bulk'].refusal_p99_s, 0.125)
