Search on for a server after the refusal of one that is rate-limited

Callers saw calls of running requests turned away while servers without a limit had room: a call with an objective of 60 ms stopped its search after 7.5 ms, less than the way to another region takes.

Cause: the time to search was made for floods, in which all servers are full. A rate limit concerns one server.

Change: after such a refusal the search lasts half of the rank's target. A test of the choice that held before is added: a limited server is spared until its next token is due.

Measured: the test of the search fails before.

--- a/src/ragwortstand/peers/shared_budget.py
+++ b/src/ragwortstand/peers/shared_budget.py
@@ -37,6 +37,9 @@
 # Fraction of the rank's target after which a refusal is returned to the caller
 # instead of trying another daemon.
 _SEARCH_FRACTION = 0.125
+# The same for a refusal that only the rate limit of one server causes: the
+# others may be idle.
+_RATE_LIMITED_SEARCH_FRACTION = 0.5
 # A request that has reached a server is not sent to another with less time left
 # than this fraction of its rank's target: it would use a slot in vain.
 _MIN_REMAINING_FRACTION = 0.2
@@ -111,7 +114,9 @@
         if not _may_repeat(call, outcome):
             return False
         if not call.sends:
-            return call.attempt < _MAX_TARGETS and _has_search_time(call, now_s)
+            return call.attempt < _MAX_TARGETS and _has_search_time(
+                call, outcome, now_s
+            )
         limit = call.max_attempts or _DEFAULT_ATTEMPTS
         if call.sends >= limit or not _has_time(call, now_s):
             return False
@@ -154,6 +159,12 @@
     return call.remaining_s(now_s) > min_remaining_s
 
 
-def _has_search_time(call: Call, now_s: float) -> bool:
+def _has_search_time(call: Call, outcome: Outcome, now_s: float) -> bool:
+    is_rate_limited = (
+        isinstance(outcome, Refused) and outcome.cause is Cause.RATE_LIMITED
+    )
+    fraction = (
+        _RATE_LIMITED_SEARCH_FRACTION if is_rate_limited else _SEARCH_FRACTION
+    )
     waited_s = now_s - call.began_at_s
-    return waited_s < call.rank.target_s * _SEARCH_FRACTION
+    return waited_s < call.rank.target_s * fraction
--- a/tests/test_latency_objective_choice.py
+++ b/tests/test_latency_objective_choice.py
@@ -84,6 +84,11 @@
 class ZoneBurstTests(_ChoiceTestCase):
     """One availability zone is overloaded; others have free slots."""
 
+    def test_server_is_spared_until_its_rate_limit_has_room(self) -> None:
+        self._record_call('near', Refused(Cause.RATE_LIMITED, 0.3), busy=0)
+        self.assertEqual(self._count_choices(0.29), {'beside': 20})
+        self.assertEqual(self._count_choices(0.31), {'near': 20})
+
     def test_full_zone_spills_to_the_region_first(self) -> None:
         self._record_call('near', _FULL, busy=2.5)
         self.assertEqual(self._count_choices(0.01), {'beside': 20})
--- a/tests/test_shared_budget.py
+++ b/tests/test_shared_budget.py
@@ -113,6 +113,12 @@
         self.assertTrue(_allows(self.retries, full, now_s=0.02))
         self.assertFalse(_allows(self.retries, full, now_s=0.04))
 
+    def test_search_goes_on_past_a_server_with_a_rate_limit(self) -> None:
+        """Guards against refusing calls while other servers are idle."""
+        limited = Refused(Cause.RATE_LIMITED)
+        self.assertTrue(_allows(self.retries, limited, now_s=0.1))
+        self.assertFalse(_allows(self.retries, limited, now_s=0.13))
+
 
 class WindowTests(unittest.TestCase):
     """What is stored of past requests."""
