Return to a restarted daemon what its last process has published

Callers' requests could run on a backend server that had left: its daemon, if it was restarted after the server had announced its departure, took a delayed announcement for a server that is ready.

Cause: a restarted daemon is to hear of the departure from its peers, but the entry that it joins with replaces the one that says so before the peer replies. Class of fault: state is overwritten by the question for it.

Change: the list of members keeps the last entry of an earlier process that names a departure, and a request to join is answered with it as well.

Measured: two tests fail before, one for the peer that is joined first and one for a peer that has the new entry already.

--- a/src/ragwortstand/peers/gossip.py
+++ b/src/ragwortstand/peers/gossip.py
@@ -213,6 +213,8 @@
     def on_join(self, request: Join) -> MemberList:
         """Return the list of members, or only the own entry.
 
+        The sender also gets what an earlier process of it has published.
+
         :param request: the request, with the entry of its sender.
         """
         now_s = anyio.current_time()
@@ -223,6 +225,9 @@
                 self._list_sends_left -= 1
             else:
                 members = (self._members.own,)
+        previous_boot = self._members.previous_boots.get(request.member.host)
+        if previous_boot:
+            members = (*members, previous_boot)
         return MemberList(
             members,
             self._version_in_force(),
--- a/src/ragwortstand/peers/members.py
+++ b/src/ragwortstand/peers/members.py
@@ -54,6 +54,8 @@
     list, and the outcomes of calls decide which of them are used.
 
     `digest` is equal for lists with the same present members.
+    `previous_boots` has the last entries of earlier processes that the present
+    ones restore their state from.
     `last_contact_s` is the time of the last message from any other member.
 
     :param own: this daemon.
@@ -75,6 +77,7 @@
         self._offering = OfferingIndex()
         self._offering.put(own, is_usable=own.state in _USABLE_STATES)
         self._role_orders: dict[str, list[HostId]] = {}
+        self.previous_boots: dict[HostId, Member] = {}
         self.last_contact_s = now_s
         self.digest = _entry_hash(own)
         self.on_change: Callable[[Member], None] = _ignore_member
@@ -284,6 +287,8 @@
         previous = entry.member if entry else None
         if previous:
             self.digest ^= _entry_hash(previous)
+            if previous.boot != member.boot and previous.departed:
+                self.previous_boots[member.host] = previous
         if entry is None:
             self._entries[member.host] = _Entry(member, now_s or 0.0)
         else:
@@ -298,6 +303,7 @@
         entry = self._entries.pop(host)
         self.digest ^= _entry_hash(entry.member)
         self._pending_updates.pop(host, None)
+        self.previous_boots.pop(host, None)
         self._offering.remove(host)
         self._role_orders.clear()
 
--- a/tests/test_gossip_lists.py
+++ b/tests/test_gossip_lists.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterable
 
 import anyio
+from msgspec.structs import replace
 
 from ragwortstand.exceptions import PeerError
 from ragwortstand.ids import NO_VERSION, HostId, PeerAddress
@@ -63,6 +64,10 @@
             random.Random(len(self.lists)),
         )
 
+    def gossip(self, own: Member) -> Gossip:
+        """Return the gossip of a daemon."""
+        return self._gossips[own.peer_address]
+
     async def run(self, seconds: float) -> None:
         """Run the probes of all daemons for a time."""
         with anyio.move_on_after(seconds):
@@ -279,3 +284,35 @@
             now_s for now_s in range(30) if is_due(now_s, 100 + now_s, now_s)
         ]
         self.assertEqual(found, [9, 18, 27])
+
+
+class RestartTests(unittest.IsolatedAsyncioTestCase):
+    """A daemon that restarts learns what its last process has published."""
+
+    def setUp(self) -> None:
+        """Create a peer that knows the last process of a daemon."""
+        self.last = replace(member('h'), boot=1, departed=('i-1', 1000))
+        self.daemons = _Daemons(_NEVER_S)
+        self.daemons.start(member('peer'), [self.last])
+        self.again = replace(
+            member('h'), boot=2, incarnation=_NEW, service=None
+        )
+        self.heard: list[Member] = []
+
+    async def _restart(self) -> None:
+        self.daemons.start(self.again, ())
+        restarted = self.daemons.lists[self.again.host]
+        restarted.on_update_about_self = self.heard.append
+        await self.daemons.gossip(self.again).join(member('peer').peer_address)
+
+    async def test_from_the_peer_that_it_joins(self) -> None:
+        """Guards against using a server again that has left."""
+        await self._restart()
+        self.assertIn(self.last.departed, [one.departed for one in self.heard])
+
+    async def test_from_a_peer_that_has_its_new_entry(self) -> None:
+        peer = self.daemons.lists[member('peer').host]
+        peer.merge([self.again], 1)
+        peer.merge([replace(self.again, boot=3, incarnation=3)], 2)
+        await self._restart()
+        self.assertIn(self.last.departed, [one.departed for one in self.heard])
