Restore the rate limit of a backend server after its daemon restarts

Servers in need got a burst whenever their own daemon restarted: it knew of no limit until the first response came, and sent what the slots took.

Cause: the limit was known only to the process that counts. Class of fault: state that others rely on lives in one process alone.

Change: the limit is published in the daemon's member entry, with the server's boot, when it appears, ends or changes by a fifth; at most twice a second, with the usual probes. A restarted daemon gets it back from the peer that it joins and uses it until the server's own responses say otherwise. Other daemons draw the server by its limit instead of its slots.

Units: a limit of another boot, and one that was withdrawn, are not restored.

--- a/src/ragwortstand/backend_servers/rate_limiter.py
+++ b/src/ragwortstand/backend_servers/rate_limiter.py
@@ -8,6 +8,9 @@
 
 from collections.abc import Iterable
 
+import msgspec
+
+from ragwortstand.backend_servers.announcements import Identity
 from ragwortstand.models import Rank
 from ragwortstand.verdicts import Cause, Refused
 
@@ -23,6 +26,28 @@
 _MIN_RETRY_AFTER_S = 0.05
 
 
+# Limits that differ by less than this share are not published again.
+_PUBLISHED_DIFFERENCE = 0.2
+
+
+class ServerRateLimit(msgspec.Struct, frozen=True, array_like=True):
+    """Rate limit that a backend server names.
+
+    :param identity: the backend server and its boot.
+    :param per_s: requests per second that it takes from all hosts together.
+    """
+
+    identity: Identity
+    per_s: float
+
+    def is_like(self, other: 'ServerRateLimit | None') -> bool:
+        """Return whether another limit is about the same."""
+        if other is None or other.identity != self.identity:
+            return False
+        difference = abs(other.per_s - self.per_s)
+        return difference <= _PUBLISHED_DIFFERENCE * self.per_s
+
+
 class RateLimiter:
     """Holds the requests to a backend server to the rate that it names.
 
--- a/src/ragwortstand/backend_servers/server.py
+++ b/src/ragwortstand/backend_servers/server.py
@@ -33,7 +33,10 @@
 )
 from ragwortstand.backend_servers.httptools_client import HttptoolsConnection
 from ragwortstand.backend_servers.in_band_signals import InBandSignals
-from ragwortstand.backend_servers.rate_limiter import RateLimiter
+from ragwortstand.backend_servers.rate_limiter import (
+    RateLimiter,
+    ServerRateLimit,
+)
 from ragwortstand.backend_servers.request_sender import RequestSender
 from ragwortstand.backend_servers.response_memory import ResponseMemoryBudget
 from ragwortstand.calls import Call
@@ -93,6 +96,8 @@
         self._departures = Departures()
         self._signals = InBandSignals()
         self._rate_limiter = RateLimiter()
+        self._restored_limit: ServerRateLimit | None = None
+        self._has_signalled = False
         self._suspect_lock = anyio.Lock()
         self._announced_at_s = 0.0
         self._cold_start_s: dict[str, float] = {}
@@ -106,7 +111,7 @@
             connect or _connect_for(settings),
             self.crash_detector,
             self._mark_down,
-            self._apply_signals,
+            self._handle_signals,
             log,
         )
         self.is_owner: Callable[[Call], bool] = _always_here
@@ -122,6 +127,14 @@
         """Return the backend server that departed last, None if none did."""
         return self._departures.last
 
+    @property
+    def rate_limit(self) -> ServerRateLimit | None:
+        """Return the limit that the backend server names, None for none."""
+        limit_per_s = self._rate_limiter.limit_per_s
+        if self.announcement is None or limit_per_s is None:
+            return None
+        return ServerRateLimit(identity_of(self.announcement), limit_per_s)
+
     @property
     def in_flight(self) -> int:
         """Return how many requests run on the backend server."""
@@ -195,6 +208,17 @@
             self.announcement = replace(previous, is_draining=True)
             self._set_state(BackendState.DRAINING)
 
+    def restore_rate_limit(self, limit: ServerRateLimit) -> None:
+        """Apply the limit that an earlier process of this daemon knew.
+
+        It is ignored once the backend server has responded to this process.
+
+        :param limit: the limit, with the backend server that named it.
+        """
+        self._restored_limit = limit
+        if self.announcement and not self._has_signalled:
+            self._apply_signals(self._restored_signals(self.announcement))
+
     def expire(self, now_s: float) -> None:
         """Mark the backend server as down when its announcements stop.
 
@@ -330,11 +354,22 @@
 
     def _handle_restart(self, announcement: Announcement, now_s: float) -> None:
         self._request_sender.open(announcement)
-        self._apply_signals(InBandSignals())
+        self._has_signalled = False
+        self._apply_signals(self._restored_signals(announcement))
         cold_start_s = self._cold_start_s.get(announcement.service, 0)
         cold_start_s = max(cold_start_s, announcement.cold_s)
         self._admission.open(announcement.slots, cold_start_s, now_s)
 
+    def _restored_signals(self, announcement: Announcement) -> InBandSignals:
+        restored = self._restored_limit
+        if restored and restored.identity == identity_of(announcement):
+            return InBandSignals(restored.per_s)
+        return InBandSignals()
+
+    def _handle_signals(self, signals: InBandSignals) -> None:
+        self._has_signalled = True
+        self._apply_signals(signals)
+
     def _apply_signals(self, signals: InBandSignals) -> None:
         """Apply and log a change of what the backend server says of itself."""
         if signals == self._signals:
--- a/src/ragwortstand/peers/latency_objective_choice.py
+++ b/src/ragwortstand/peers/latency_objective_choice.py
@@ -356,13 +356,18 @@
             return known.totals
         totals = list(
             itertools.accumulate(
-                max(1, member.slots) / self._service_s(member, rank)
-                for member in tier.members
+                self._capacity_per_s(member, rank) for member in tier.members
             )
         )
         tier.weights[rank.name] = _Weights(now_s, totals)
         return totals
 
+    def _capacity_per_s(self, member: Member, rank: Rank) -> float:
+        capacity_per_s = max(1, member.slots) / self._service_s(member, rank)
+        if member.rate_limit:
+            return min(capacity_per_s, member.rate_limit.per_s)
+        return capacity_per_s
+
     def _service_s(self, member: Member, rank: Rank) -> float:
         known_s = self._signal(member).service_s.get(rank.name)
         return known_s or rank.target_s * _INITIAL_SERVICE_FRACTION
--- a/src/ragwortstand/peers/members.py
+++ b/src/ragwortstand/peers/members.py
@@ -287,7 +287,7 @@
         previous = entry.member if entry else None
         if previous:
             self.digest ^= _entry_hash(previous)
-            if previous.boot != member.boot and previous.departed:
+            if previous.boot != member.boot and _has_server_state(previous):
                 self.previous_boots[member.host] = previous
         if entry is None:
             self._entries[member.host] = _Entry(member, now_s or 0.0)
@@ -308,6 +308,11 @@
         self._role_orders.clear()
 
 
+def _has_server_state(member: Member) -> bool:
+    """Return whether an entry has what a restarted daemon must know."""
+    return bool(member.departed or member.rate_limit)
+
+
 def _role_key(member: Member) -> tuple[object, ...]:
     """Return what decides on which roles a member can hold."""
     return (member.zone, member.region, member.state in _USABLE_STATES)
--- a/src/ragwortstand/peers/messages.py
+++ b/src/ragwortstand/peers/messages.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from ragwortstand.backend_servers.rate_limiter import ServerRateLimit
 from ragwortstand.ids import (
     Digest,
     Fingerprint,
@@ -60,6 +61,7 @@
     :param store_reach: how well the daemon reaches the platform's store.
     :param departed: backend server that left last, and its boot; a daemon
         that restarts receives it from the others.
+    :param rate_limit: about the limit of that backend server, if it names one.
     """
 
     host: HostId
@@ -74,6 +76,7 @@
     boot: int = 0
     store_reach: int = 0
     departed: tuple[str, int] | None = None
+    rate_limit: ServerRateLimit | None = None
 
 
 class Ping(_Message, frozen=True):
--- a/src/ragwortstand/sidecar.py
+++ b/src/ragwortstand/sidecar.py
@@ -383,6 +383,15 @@
         while True:
             await anyio.sleep(_EXPIRY_INTERVAL_S)
             self._backend_server.expire(clock.now_s())
+            self._publish_rate_limit()
+
+    def _publish_rate_limit(self) -> None:
+        """Tell peers of the limit of the backend server if it has changed."""
+        limit = self._backend_server.rate_limit
+        published = self._members.own.rate_limit
+        is_known = limit.is_like(published) if limit else published is None
+        if not is_known:
+            self._members.update_own(rate_limit=limit)
 
     def _snapshot(self) -> Snapshot | None:
         return self._gate.snapshot if self._distributor.is_initialized else None
@@ -408,7 +417,12 @@
         self._schedule_announcement()
 
     def _on_member_update(self, update: Member) -> None:
-        """Restore from peers which backend server left before a restart."""
+        """Restore from peers what was known before a restart.
+
+        It is which backend server has left, and the limit of the present one.
+        """
+        if update.rate_limit and update.boot != self._boot:
+            self._backend_server.restore_rate_limit(update.rate_limit)
         known_departure = self._backend_server.last_departed
         if (
             update.departed
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -41,6 +41,7 @@
     """A backend server that records its requests.
 
     :ivar delay_s: how long each request takes.
+    :ivar slots: requests that it runs concurrently.
     :ivar seen: requests that it ran.
     :ivar signals: headers that it adds to each response.
     """
@@ -48,6 +49,7 @@
     instance: str
     service: str
     delay_s: float = 0.005
+    slots: int = 4
     seen: list[CallerRequest] = field(default_factory=list)
     port: int = 0
     sequence: int = 0
@@ -84,6 +86,12 @@
         """Send SIGTERM to the sidecar."""
         self.process.send_signal(signal.SIGTERM)
 
+    def restart(self) -> None:
+        """Kill the sidecar and start it again."""
+        self.process.kill()
+        self.process.wait()
+        self.process = _start_sidecar(self.settings)
+
 
 @dataclass
 class Fleet:
@@ -144,7 +152,7 @@
             'address': f'{host.address}:{backend_server.port}',
             'zone': host.zone,
             'version': 'v1',
-            'capacity': 4,
+            'capacity': backend_server.slots,
             'state': backend_server.state,
             'coldLeftMs': 0,
             'seq': backend_server.sequence,
@@ -243,14 +251,17 @@
             },
         ),
     )
-    log = folder / f'{number}.log'
-    with log.open('wb') as stream:
-        process = subprocess.Popen(  # noqa: ASYNC220
+    process = _start_sidecar(settings)
+    return Host(address, zone, region, backend_server, settings, process, ports)
+
+
+def _start_sidecar(settings: pathlib.Path) -> subprocess.Popen[bytes]:
+    with settings.with_suffix('.log').open('ab') as stream:
+        return subprocess.Popen(
             [sys.executable, 'deploy/sidecar.py', '--settings', str(settings)],
             cwd=_ROOT,
             stdout=stream,
         )
-    return Host(address, zone, region, backend_server, settings, process, ports)
 
 
 async def _send_heartbeats(fleet: Fleet) -> None:
--- a/tests/test_gossip_lists.py
+++ b/tests/test_gossip_lists.py
@@ -8,6 +8,7 @@
 import anyio
 from msgspec.structs import replace
 
+from ragwortstand.backend_servers.rate_limiter import ServerRateLimit
 from ragwortstand.exceptions import PeerError
 from ragwortstand.ids import NO_VERSION, HostId, PeerAddress
 from ragwortstand.peers.anti_entropy import AntiEntropyTrigger
@@ -310,6 +311,21 @@
         await self._restart()
         self.assertIn(self.last.departed, [one.departed for one in self.heard])
 
+    async def test_rate_limit_of_its_server(self) -> None:
+        limit = ServerRateLimit(('i-1', 1000), 5.0)
+        peer = self.daemons.lists[member('peer').host]
+        peer.merge(
+            [
+                replace(
+                    self.last, incarnation=2, departed=None, rate_limit=limit
+                )
+            ],
+            1,
+        )
+        self.again = replace(self.again, incarnation=3)
+        await self._restart()
+        self.assertIn(limit, [one.rate_limit for one in self.heard])
+
     async def test_from_a_peer_that_has_its_new_entry(self) -> None:
         peer = self.daemons.lists[member('peer').host]
         peer.merge([self.again], 1)
--- a/tests/test_rate_limited_servers.py
+++ b/tests/test_rate_limited_servers.py
@@ -2,13 +2,29 @@
 
 import random
 import unittest
+from collections import Counter
 from dataclasses import replace
+from unittest import mock
 
+import msgspec
 from hypothesis import given
 from hypothesis import strategies as st
 
-from ragwortstand.backend_servers.rate_limiter import RateLimiter
+from ragwortstand import clock
+from ragwortstand.backend_servers import BackendServer, Load
+from ragwortstand.backend_servers.connections import Endpoint
+from ragwortstand.backend_servers.latency_objective_admission import (
+    LatencyObjectiveAdmission,
+)
+from ragwortstand.backend_servers.rate_limiter import (
+    RateLimiter,
+    ServerRateLimit,
+)
+from ragwortstand.ids import HostId, RegionName, ZoneName
 from ragwortstand.models import Rank
+from ragwortstand.peers.choice import Locality
+from ragwortstand.peers.latency_objective_choice import LatencyObjectiveChoice
+from ragwortstand.platform.headers import PlatformBackendDialect
 from ragwortstand.tools.model import (
     Fault,
     FleetModel,
@@ -23,6 +39,11 @@
     compute_figures,
     sidecar_policy,
 )
+from ragwortstand.verdicts import Cause, Refused
+from tests.fakes import ListLog, member
+from tests.forwarded import new_call
+from tests.servers import answering, running_server
+from tests.test_in_band_signals import SETTINGS, announcement, response
 
 _URGENT = Rank(name='urgent', target_s=0.25)
 _BULK = Rank(name='bulk', target_s=1.0)
@@ -141,6 +162,82 @@
         self.assertLessEqual(sent, 5)
 
 
+class RestartedDaemonTests(unittest.IsolatedAsyncioTestCase):
+    """A daemon restarts beside a server that names a limit."""
+
+    def setUp(self) -> None:
+        """Create the daemon's part after the restart."""
+        self.server = BackendServer(
+            SETTINGS,
+            ListLog(),
+            PlatformBackendDialect(),
+            LatencyObjectiveAdmission(),
+        )
+        self.limit = ServerRateLimit(('i-1', 1000), 0.5)
+
+    async def test_limit_is_valid_before_the_first_response(self) -> None:
+        """Guards against a burst in each restart of a daemon."""
+        for is_late in (False, True):
+            with self.subTest(is_late=is_late):
+                self.setUp()
+                if not is_late:
+                    self.server.restore_rate_limit(self.limit)
+                await self._announce(Endpoint('127.0.0.1', 1))
+                if is_late:
+                    self.server.restore_rate_limit(self.limit)
+                outcome = await self.server.run(new_call('a', 1.0))
+                self.assertEqual(outcome, Refused(Cause.RATE_LIMITED, mock.ANY))
+
+    async def test_limit_of_another_boot_is_ignored(self) -> None:
+        self.server.restore_rate_limit(self.limit)
+        await self._announce(Endpoint('127.0.0.1', 1), boot=2000)
+        self.assertIsNone(self.server.rate_limit)
+
+    async def test_limit_that_was_withdrawn_stays_withdrawn(self) -> None:
+        async with running_server(answering(response())) as endpoint:
+            await self._announce(endpoint)
+            await self.server.run(new_call('a', 1.0))
+        self.server.restore_rate_limit(self.limit)
+        self.assertIsNone(self.server.rate_limit)
+
+    async def _announce(self, endpoint: Endpoint, **changes) -> None:
+        await self.server.announce(
+            announcement(endpoint, **changes), clock.now_s()
+        )
+
+
+class PublishedLimitTests(unittest.TestCase):
+    """Which changes of a limit are published."""
+
+    def test_small_changes_are_not(self) -> None:
+        known = ServerRateLimit(('i-1', 1), 10.0)
+        for other, is_like in (
+            (ServerRateLimit(('i-1', 1), 11.0), True),
+            (ServerRateLimit(('i-1', 1), 13.0), False),
+            (ServerRateLimit(('i-1', 2), 10.0), False),
+            (None, False),
+        ):
+            self.assertEqual(known.is_like(other), is_like, other)
+
+    def test_daemons_draw_a_limited_server_less_often(self) -> None:
+        limit = ServerRateLimit(('i-1', 1), 10.0)
+        others = [member(f'h{number}') for number in range(7)]
+        limited = msgspec.structs.replace(member('limited'), rate_limit=limit)
+        members = (limited, *others)
+        choice = LatencyObjectiveChoice(
+            Locality(HostId('own'), ZoneName('a1'), RegionName('a')),
+            lambda now_s: Load(10, 0, 0),
+            random.Random(1),
+        )
+        chosen: Counter[HostId] = Counter()
+        for _ in range(1600):
+            picked = choice.choose(members, _URGENT, (), 0)
+            assert picked is not None
+            chosen[picked.host] += 1
+        self.assertLess(chosen[limited.host], 60)
+        self.assertGreater(min(chosen[one.host] for one in others), 150)
+
+
 class SomeServersLimitedTests(unittest.TestCase):
     """Two of six servers take 40 % of what they get."""
 
--- a/tests/test_server_rate_limit.py
+++ b/tests/test_server_rate_limit.py
@@ -5,7 +5,11 @@
 import anyio
 
 from ragwortstand import clock
-from tests.platform_fleet import Fleet, running_fleet
+from tests.platform_fleet import (
+    Fleet,
+    SimulatedBackendServer,
+    running_fleet,
+)
 from tests.test_platform_configuration import row_of
 from tests.test_platform_path import wait_until_serving
 
@@ -18,6 +22,8 @@
 _SERVICES = ['huvo', 'huvo', 'kafi']
 _RATE_PER_S = 100
 _LOAD_S = 6.0
+# Time in which peers hear of a limit.
+_PUBLISHING_S = 3.0
 # Requests of hosts that have heard of the limit for this time are counted.
 _NOTICE_S = 0.5
 
@@ -40,8 +46,11 @@
 
 def _most_in_window(times_s: list[float]) -> int:
     return max(
-        sum(start_s <= at_s < start_s + _WINDOW_S for at_s in times_s)
-        for start_s in times_s
+        (
+            sum(start_s <= at_s < start_s + _WINDOW_S for at_s in times_s)
+            for start_s in times_s
+        ),
+        default=0,
     )
 
 
@@ -58,11 +67,40 @@
             limited.signals = ((b'server-limit', b'%g' % _LIMIT_PER_S),)
             named_at_s = clock.now_s()
             statuses = await _send_load(fleet)
+        self._assert_limit_is_kept(limited, _LIMIT_PER_S, named_at_s)
+        self.assertEqual(set(statuses), {200})
+
+    async def test_daemon_that_restarts_knows_the_limit(self) -> None:
+        """Guards against a burst from other hosts after each restart.
+
+        The server responds late, so that its responses do not tell in time.
+        """
+        limit_per_s = 0.5
+        async with running_fleet(_SERVICES, row_of(7)) as fleet:
+            limited = fleet.hosts[0].backend_server
+            limited.slots = 13
+            limited.signals = ((b'server-limit', b'%g' % limit_per_s),)
+            await fleet.heartbeat(fleet.hosts[0])
+            await wait_until_serving(fleet, fleet.hosts[1])
+            while not limited.seen:
+                await fleet.ask(fleet.hosts[0], _PATH, 'first')
+            limited.delay_s = 1.5
+            await anyio.sleep(_PUBLISHING_S)
+            restarted_at_s = clock.now_s()
+            fleet.hosts[0].restart()
+            await _send_load(fleet)
+        self._assert_limit_is_kept(limited, limit_per_s, restarted_at_s)
+
+    def _assert_limit_is_kept(
+        self,
+        server: SimulatedBackendServer,
+        limit_per_s: float,
+        named_at_s: float,
+    ) -> None:
         arrivals_s = [
             request.arrived_at_s
-            for request in limited.seen
+            for request in server.seen
             if request.arrived_at_s > named_at_s + _NOTICE_S
         ]
-        allowed = _LIMIT_PER_S * _WINDOW_S * _TOLERANCE + _TOLERATED_REQUESTS
+        allowed = limit_per_s * _WINDOW_S * _TOLERANCE + _TOLERATED_REQUESTS
         self.assertLessEqual(_most_in_window(arrivals_s), allowed)
-        self.assertEqual(set(statuses), {200})
