Ignore signals of a backend server that another one has replaced

A server could be held to the limit of the one before it at its address, as long as it answered nothing itself.

Cause: a response was taken for one of the server that announced itself last, not of the one that the request was sent to. Class of fault: a late answer changes the state of a successor.

Change: signals count only while the connections are still those of the server that the request was sent to.

--- a/src/ragwortstand/backend_servers/request_sender.py
+++ b/src/ragwortstand/backend_servers/request_sender.py
@@ -134,6 +134,7 @@
         self, call: Call, connection: HttpConnection
     ) -> Outcome:
         in_flight = self._crash_detector.in_flight
+        pool = self._pool
         call.is_dispatched = True
         with in_flight.track(call):
             try:
@@ -149,7 +150,8 @@
         if self._crash_detector.is_suspect(call, clock.now_s()):
             await self._crash_detector.clear(call.fingerprint)
         signals = self._dialect.signals(answered)
-        if signals:
+        if signals and pool is self._pool:
+            # Another server may have started since the request was sent.
             self._on_signals(signals)
         outcome = self._dialect.outcome(call, answered)
         self._update_breaker(outcome, answered.status)
--- a/tests/test_in_band_signals.py
+++ b/tests/test_in_band_signals.py
@@ -3,8 +3,13 @@
 import unittest
 
 import anyio
+from anyio.abc import SocketStream
 
-from ragwortstand.backend_servers import Announcement, BackendServer
+from ragwortstand.backend_servers import (
+    Announcement,
+    BackendServer,
+    BackendState,
+)
 from ragwortstand.backend_servers.connections import Endpoint
 from ragwortstand.backend_servers.dialect import RagwortDialect
 from ragwortstand.backend_servers.in_band_signals import InBandSignals
@@ -144,3 +149,39 @@
         rendered = metrics.render()
         self.assertIn(b'ragwort_backend_requests_total 3.0', rendered)
         self.assertIn(b'per_second -1.0', rendered)
+
+
+class RestartedServerTests(unittest.IsolatedAsyncioTestCase):
+    """Another server has started while a request was at work."""
+
+    def setUp(self) -> None:
+        """Create the daemon's part for one server."""
+        self.server = BackendServer(
+            SETTINGS,
+            ListLog(),
+            PlatformBackendDialect(),
+            LatencyObjectiveAdmission(),
+        )
+
+    async def test_late_response_of_the_last_boot_concerns_no_other(
+        self,
+    ) -> None:
+        """Guards against taking out the server that has the address now."""
+
+        async def respond_late(stream: SocketStream) -> None:
+            await stream.receive()
+            await self._announce(endpoint, instance='i-2', boot=2000)
+            await stream.send(
+                response(b'server-leaving: 1', b'server-limit: 1')
+            )
+
+        async with running_server(respond_late) as endpoint:
+            await self._announce(endpoint)
+            await self.server.run(new_call('a', 2.0))
+        self.assertIs(self.server.state, BackendState.READY)
+        self.assertIsNone(self.server.rate_limit)
+
+    async def _announce(self, endpoint: Endpoint, **changes) -> None:
+        await self.server.announce(
+            announcement(endpoint, **changes), anyio.current_time()
+        )
