Send nothing more to a server that says in a response that it leaves

Callers' requests could reach a server after a host had passed on its word that it leaves, if the server's announcement of it was late or lost.

Cause: only announcements and deregistrations took a server out of use. Class of fault: the same as that of the rate limit, a signal in a response that no decision reads.

Measured: two tests fail before; one more shows that a late response of an earlier boot does not take out its successor.

--- a/src/ragwortstand/backend_servers/server.py
+++ b/src/ragwortstand/backend_servers/server.py
@@ -369,6 +369,8 @@
     def _handle_signals(self, signals: InBandSignals) -> None:
         self._has_signalled = True
         self._apply_signals(signals)
+        if signals.is_leaving and self.announcement:
+            self.depart(*identity_of(self.announcement))
 
     def _apply_signals(self, signals: InBandSignals) -> None:
         """Apply and log a change of what the backend server says of itself."""
--- a/tests/test_in_band_signals.py
+++ b/tests/test_in_band_signals.py
@@ -29,7 +29,7 @@
     DaemonSettings,
     PlatformSettings,
 )
-from ragwortstand.verdicts import Answered
+from ragwortstand.verdicts import Answered, Cause, Refused
 from tests.fakes import ListLog
 from tests.forwarded import new_call
 from tests.servers import answering, running_server
@@ -151,17 +151,39 @@
         self.assertIn(b'per_second -1.0', rendered)
 
 
-class RestartedServerTests(unittest.IsolatedAsyncioTestCase):
-    """Another server has started while a request was at work."""
+class LeavingTests(unittest.IsolatedAsyncioTestCase):
+    """A server says in its responses that it is about to stop."""
 
     def setUp(self) -> None:
         """Create the daemon's part for one server."""
+        self.changes: list[BackendState] = []
         self.server = BackendServer(
             SETTINGS,
             ListLog(),
             PlatformBackendDialect(),
             LatencyObjectiveAdmission(),
         )
+        self.server.on_change = lambda: self.changes.append(self.server.state)
+
+    async def test_no_request_is_sent_after_such_a_response(self) -> None:
+        """Guards against sending work to a server that has said it leaves."""
+        script = answering(response(b'server-leaving: 1'), response())
+        async with running_server(script) as endpoint:
+            await self._announce(endpoint)
+            answered = await self.server.run(new_call('a', 2.0))
+            refused = await self.server.run(new_call('b', 2.0))
+        self.assertIsInstance(answered, Answered)
+        self.assertEqual(refused, Refused(Cause.LEAVING))
+        self.assertIs(self.changes[-1], BackendState.DRAINING)
+        self.assertEqual(self.server.last_departed, ('i-1', 1000))
+
+    async def test_later_announcement_does_not_bring_it_back(self) -> None:
+        script = answering(response(b'server-leaving: 1'))
+        async with running_server(script) as endpoint:
+            await self._announce(endpoint)
+            await self.server.run(new_call('a', 2.0))
+            await self._announce(endpoint, sequence=9)
+        self.assertIs(self.server.state, BackendState.DRAINING)
 
     async def test_late_response_of_the_last_boot_concerns_no_other(
         self,
