--- a/tests/store_standin.py
+++ b/tests/store_standin.py
@@ -1,14 +1,14 @@
 """Simulates the store of the users' platform after its documentation.
 
-It has rows with conditional writes, a feed whose history can be lost, and
-faults: refused calls, missing responses before or after the write, and delayed
-or malformed responses.
+It has rows with conditional writes, a feed whose history can be lost, returns
+from a copy that lacks the last writes, and faults: refused calls, missing
+responses before or after the write, and delayed or malformed responses.
 """
 
 import base64
 import enum
 from collections import deque
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from urllib.parse import parse_qs, urlsplit
 
 import anyio
@@ -44,6 +44,7 @@
     :ivar faults: faults of the next calls, one each; None for no fault.
     :ivar calls: paths of the calls so far.
     :ivar page_rows: maximum number of rows in a response.
+    :ivar era: increased by each return from a copy; in all responses.
     """
 
     faults: deque[StoreFault | None] = field(default_factory=deque)
@@ -51,6 +52,7 @@
     late_s: float = 0.05
     page_rows: int = 500
     is_history_lost: bool = False
+    era: int = 1
 
     def __post_init__(self) -> None:
         """Create an empty store."""
@@ -66,6 +68,19 @@
         self.changes.append((self.version, row_key, content))
         return self.version
 
+    def restore(self, version: int) -> None:
+        """Return from the copy of an earlier version; later writes are lost."""
+        kept = [change for change in self.changes if change[0] <= version]
+        self.rows.clear()
+        for number, row_key, content in kept:
+            if content is None:
+                self.rows.pop(row_key, None)
+            else:
+                self.rows[row_key] = (content, number)
+        self.changes = kept
+        self.version = version
+        self.era += 1
+
     async def answer(self, request: CallerRequest) -> Answered:
         """Handle one call."""
         parts = urlsplit(request.target)
@@ -84,7 +99,12 @@
         query = {
             name: found[0] for name, found in parse_qs(parts.query).items()
         }
+        era = self.era
         answered = await self._dispatch(parts.path, query, request.body)
+        if era != self.era:
+            answered = Answered(503, (), b'')
+        era_header = (b'store-era', b'%d' % self.era)
+        answered = replace(answered, headers=(era_header,))
         if fault is StoreFault.LOST_AFTER:
             await anyio.sleep(_FOREVER_S)
         return answered
@@ -139,6 +159,8 @@
             self.is_history_lost = False
             return _json(410, {})
         after = int(query['after'])
+        if after > self.version:
+            return _json(410, {})
         with anyio.move_on_after(int(query['waitMs']) / 1000):
             while not self._rows_since(query['table'], after):  # noqa: ASYNC110
                 await anyio.sleep(_FEED_POLL_S)
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -4,6 +4,7 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
+import anyio
 import msgspec
 
 from ragwortstand.events import Event
@@ -250,3 +251,82 @@
             fixture.store.faults.append(StoreFault.BUSY)
             await fixture.versions.wait(is_reader=True)
             self.assertEqual(fixture.reach[-1], 0)
+
+
+class RestoredStoreTests(unittest.IsolatedAsyncioTestCase):
+    """The store returns from a copy that lacks its last writes."""
+
+    async def _follow(self, fixture: _Fixture, version: int) -> int:
+        """Follow the feed for up to five polls; return the version found."""
+        found = 0
+        for _ in range(5):
+            with anyio.move_on_after(0.3):
+                await fixture.versions.wait(is_reader=True)
+            record = await fixture.versions.head()
+            found = record.version if record else 0
+            if found == version:
+                break
+        return found
+
+    async def test_version_with_a_number_of_lost_history_is_read(self) -> None:
+        """Guards against waiting after a position of the lost history."""
+        async with _fixture() as fixture:
+            fixture.store.put('op', 'config', row_of(7))
+            fixture.store.put('ragwortstand', 'lost', b'')
+            await fixture.versions.head()
+            fixture.store.restore(1)
+            fixture.store.put('op', 'config', row_of(9))
+            self.assertEqual(await self._follow(fixture, 9), 9)
+
+    async def test_version_between_two_polls_of_the_feed_is_read(self) -> None:
+        """Guards against the feed of new history after an old position."""
+        async with _fixture() as fixture:
+            fixture.store.put('op', 'config', row_of(7))
+            for _ in range(3):
+                fixture.store.put('ragwortstand', 'lost', b'')
+            await fixture.versions.head()
+            fixture.store.restore(1)
+            fixture.store.put('op', 'config', row_of(9))
+            for _ in range(8):
+                fixture.store.put('ragwortstand', 'written-again', b'')
+            self.assertEqual(await self._follow(fixture, 9), 9)
+
+    async def test_version_that_comes_while_the_feed_waits_is_read(
+        self,
+    ) -> None:
+        async with _fixture() as fixture:
+            fixture.store.put('op', 'config', row_of(7))
+            fixture.store.put('ragwortstand', 'lost', b'')
+            await fixture.versions.head()
+            fixture.store.restore(1)
+            with anyio.move_on_after(0.5):
+                while True:
+                    await fixture.versions.wait(is_reader=True)
+                    await fixture.versions.head()
+            fixture.store.put('op', 'config', row_of(9))
+            self.assertEqual(await self._follow(fixture, 9), 9)
+
+    async def test_feed_is_not_polled_without_pause(self) -> None:
+        """Guards against reads that use up the rate of all daemons."""
+        async with _fixture() as fixture:
+            fixture.store.put('op', 'config', row_of(7))
+            fixture.store.put('ragwortstand', 'lost', b'')
+            await fixture.versions.head()
+            fixture.store.restore(1)
+            fixture.store.calls.clear()
+            with anyio.move_on_after(1.0):
+                while True:
+                    await fixture.versions.wait(is_reader=True)
+                    await fixture.versions.head()
+            self.assertLessEqual(len(fixture.store.calls), 12)
+
+    async def test_older_row_does_not_replace_a_version(self) -> None:
+        async with _fixture() as fixture:
+            fixture.store.put('op', 'config', row_of(7))
+            fixture.store.put('op', 'config', row_of(9))
+            await fixture.versions.head()
+            fixture.store.restore(1)
+            self.assertEqual(await self._follow(fixture, 7), 9)
+            fixture.store.put('op', 'config', row_of(9))
+            fixture.store.put('op', 'config', row_of(11))
+            self.assertEqual(await self._follow(fixture, 11), 11)
