Follow the store's feed only within one history

Callers on several hosts were served by the version before the last one, and got 404 on the route that it added, though the store had confirmed it over two seconds before.

Cause: readers kept the largest store version that they had ever seen as their position. After a return these numbers are given out again: a change under a number that was used before is no change after that position. While the store was behind the position, a reader also made 150 calls a second. Class of fault: positions of two histories are compared as if there were one.

Change: a position has the era that the store names in its responses. A response of another era, a refused position and a failed poll are followed by a read of the row, whose number is the new position, as is the begin of reading. A new era is a line `ragwort:store-restored`.

--- a/src/ragwortstand/platform/store.py
+++ b/src/ragwortstand/platform/store.py
@@ -5,7 +5,7 @@
 import time
 from collections import deque
 from collections.abc import Callable
-from typing import TypeVar
+from typing import Generic, NamedTuple, TypeVar
 from urllib.parse import urlencode
 
 import anyio
@@ -63,6 +63,9 @@
 # Length of the faults of a refused version in a log line.
 _MAX_LOGGED_PROBLEM = 500
 _HISTORY_GONE = 410
+# Counts how often the store has returned from a copy, in all its responses. Row
+# versions of different eras can't be compared: they are given out again.
+_ERA = b'store-era'
 _CONDITION_FAILED = 412
 
 _Response = TypeVar('_Response')
@@ -87,6 +90,29 @@
     has_more: bool = False
 
 
+class ReadResult(NamedTuple, Generic[_Response]):
+    """Result of a read.
+
+    :param document: the decoded response; None where the store does not have
+        the requested history.
+    :param era: era of the store that responded; 0 if it does not say.
+    """
+
+    document: _Response | None
+    era: int
+
+
+class StorePosition(NamedTuple):
+    """Position in the history of the store.
+
+    :param era: era of the store.
+    :param version: store version; comparable within its era only.
+    """
+
+    era: int
+    version: int
+
+
 class StoreClient:
     """Calls the store's HTTP API, each call with a time-out.
 
@@ -117,6 +143,7 @@
         self.metrics = metrics
         self._log = log
         self.is_reachable = True
+        self._era = 0
         self._recent_calls_s: deque[float] = deque(maxlen=_RECENT_CALLS)
 
     @property
@@ -134,14 +161,13 @@
         query: dict[str, str | int],
         response_type: type[_Response],
         timeout_s: float = _TIMEOUT_S,
-    ) -> _Response | None:
+    ) -> ReadResult[_Response]:
         """Return the decoded response of a read.
 
         :param path: path of the call.
         :param query: its parameters.
         :param response_type: type of the response.
         :param timeout_s: time to wait for the response.
-        :returns: None where the store no longer has the requested history.
         :raises PlatformError: when there is no valid response.
         """
         target = f'{path}?{urlencode(query)}'
@@ -153,7 +179,7 @@
             answered = await self._send('GET', target, b'', timeout_s)
         if answered.status == _HISTORY_GONE:
             self._record_success('GET')
-            return None
+            return ReadResult(None, self._record_era(answered))
         self._check_status(answered, path)
         try:
             document = msgspec.json.decode(answered.body, type=response_type)
@@ -161,7 +187,7 @@
             problem = f'{path} returned unreadable data: {error}'
             raise self._handle_failure(problem, Verdict.MAY_HAVE_RUN) from error
         self._record_success('GET')
-        return document
+        return ReadResult(document, self._record_era(answered))
 
     async def write(self, path: str, document: object) -> bool:
         """Run a transaction; return whether its conditions held.
@@ -176,6 +202,7 @@
         if is_committed:
             self._check_status(answered, path)
         self._record_success('POST')
+        self._record_era(answered)
         return is_committed
 
     async def _send(
@@ -213,6 +240,18 @@
             problem = f'{path} returned status {answered.status}'
             raise self._handle_failure(problem, Verdict.NOT_RUN)
 
+    def _record_era(self, answered: Answered) -> int:
+        """Return the era of a response, and log it when it has risen."""
+        text = dict(answered.headers).get(_ERA, b'')
+        era = int(text) if text.isdigit() else 0
+        if era > self._era:
+            if self._era:
+                self._log.emit(
+                    Event.STORE_RESTORED, era=era, previous_era=self._era
+                )
+            self._era = era
+        return era
+
     def _record_success(self, method: str) -> None:
         self.metrics.platform_calls.labels(method, 'ok').inc()
         if not self.is_reachable:
@@ -285,7 +324,7 @@
                 'to': end,
                 'limit': limit - len(rows),
             }
-            response = await self._client.read(
+            response, _ = await self._client.read(
                 '/api/rows-get', query, _RowsResponse
             )
             if response is None or not response.rows:
@@ -303,7 +342,9 @@
     """Reads the versions of the configuration from the operator's row.
 
     A poll of the feed returns a new version with its content, so `head` and
-    `content` need no call after it.
+    `content` need no call after it. The feed is followed only from the position
+    of the last poll; after a failure and in a new era of the store, the row is
+    read first.
 
     :param client: calls the store.
     :param on_reach: called with the store's reach: 0 for unreachable, 1 for a
@@ -323,7 +364,7 @@
         self._decoder = RowDecoder()
         self._record: VersionRecord | None = None
         self._content = b''
-        self._last_store_version = 0
+        self._position: StorePosition | None = None
         self._skips_read = False
         self._failed_at_s = -math.inf
         self._refused_since_unix_s = 0.0
@@ -355,6 +396,7 @@
         """
         self._skips_read = True
         if not is_reader:
+            self._position = None
             self._report_recovery(clock.now_s())
             await anyio.sleep(_IDLE_INTERVAL_S)
             return
@@ -363,6 +405,7 @@
         except PlatformError:
             # The client has logged the reason.
             self._failed_at_s = clock.now_s()
+            self._position = None
             self.on_reach(0)
             await anyio.sleep(_IDLE_INTERVAL_S)
 
@@ -381,22 +424,25 @@
             )
 
     async def _poll_feed(self) -> None:
-        if not self._last_store_version:
+        position = self._position
+        if position is None:
             await self._read_row()
             return
         query: dict[str, str | int] = {
             'table': _OPERATOR_TABLE,
-            'after': self._last_store_version,
+            'after': position.version,
             'waitMs': int(_FEED_WAIT_S * 1000),
         }
         timeout_s = _FEED_WAIT_S + _TIMEOUT_S
-        response = await self._client.read(
+        response, era = await self._client.read(
             '/api/rows-feed', query, _RowsResponse, timeout_s
         )
-        if response is None:
+        if response is None or era != position.era:
+            # The position is of a history that the store does not have.
             await self._read_row()
+            await anyio.sleep(_FEED_PAUSE_S)
             return
-        self._apply_rows(response)
+        self._apply_rows(response, era)
         self._report_reach()
         if response.rows:
             await anyio.sleep(_FEED_PAUSE_S)
@@ -408,15 +454,15 @@
             'from': _CONFIGURATION_KEY,
             'to': f'{_CONFIGURATION_KEY}\0',
         }
-        response = await self._client.read(
+        response, era = await self._client.read(
             '/api/rows-get', query, _RowsResponse
         )
         if response is not None:
-            self._apply_rows(response)
+            self._apply_rows(response, era)
         self._report_reach()
 
-    def _apply_rows(self, response: _RowsResponse) -> None:
-        self._last_store_version = max(self._last_store_version, response.ver)
+    def _apply_rows(self, response: _RowsResponse, era: int) -> None:
+        self._position = StorePosition(era, response.ver)
         for row in response.rows:
             if row.key == _CONFIGURATION_KEY and not row.deleted:
                 self._apply_row(row)
