Restore the rows of members as soon as the store returns from a copy

A daemon that started in the seconds after such a return could find no other one: rows that had been acknowledged were gone, and the keepers look every 12 s.

Cause: what the store has acknowledged was taken for lasting.

Change: the daemons that see a new era of the store, its readers and keepers, read the rows at once and write those that are missing; after a failure again each second.

--- a/src/ragwortstand/peers/member_discovery.py
+++ b/src/ragwortstand/peers/member_discovery.py
@@ -67,6 +67,8 @@
         self._rng = rng
         self._is_row_written = False
         self._has_read_rows = False
+        self._is_check_due = False
+        self._wakeup = anyio.Event()
 
     async def run(self) -> None:
         """Write the own row, join other daemons, then maintain the rows."""
@@ -81,18 +83,28 @@
             while True:
                 if self._is_read_due():
                     await self._read_and_join()
-                await anyio.sleep(self._interval_s())
+                with anyio.move_on_after(self._interval_s()):
+                    await self._wakeup.wait()
+                self._wakeup = anyio.Event()
+
+    def check_rows(self) -> None:
+        """Read the rows soon, and restore those that the table has lost."""
+        self._is_check_due = True
+        self._wakeup.set()
 
     def _interval_s(self) -> float:
-        base_s = (
-            _KEEPER_INTERVAL_S if self._members.peers() else _ALONE_INTERVAL_S
-        )
+        is_calm = self._members.peers() and not self._is_check_due
+        base_s = _KEEPER_INTERVAL_S if is_calm else _ALONE_INTERVAL_S
         return base_s * self._rng.uniform(0.75, 1.25)
 
     def _is_read_due(self) -> bool:
         """Return whether this daemon has read no rows, is alone or a keeper."""
         is_alone = not self._members.peers()
-        return is_alone or not self._has_read_rows or self._is_keeper()
+        is_first_read = not self._has_read_rows
+        return is_alone or is_first_read or self._restores_rows()
+
+    def _restores_rows(self) -> bool:
+        return self._is_check_due or self._is_keeper()
 
     def _is_keeper(self) -> bool:
         keepers = self._members.role_holders('keeper', _KEEPER_COUNT)
@@ -123,8 +135,9 @@
         await self._join_unknown(rows)
         self._has_read_rows = True
         missing = self._hosts_without_row(rows)
-        if missing and self._is_row_written and self._is_keeper():
+        if missing and self._is_row_written and self._restores_rows():
             await self._restore_rows(missing)
+        self._is_check_due = False
 
     async def _read_rows(self) -> tuple[EntryPoint, ...]:
         prefix = f'{_PREFIX}{self._cluster}/'
--- a/src/ragwortstand/platform/store.py
+++ b/src/ragwortstand/platform/store.py
@@ -123,6 +123,8 @@
     :param address: ``host:port`` of the store.
     :param metrics: counts the calls.
     :param log: logs when the store becomes unreachable and reachable again.
+    :ivar on_restored: called when the store has returned from a copy, which
+        lacks its last writes.
     """
 
     def __init__(
@@ -144,6 +146,7 @@
         self._log = log
         self.is_reachable = True
         self._era = 0
+        self.on_restored: Callable[[], None] = _do_nothing
         self._recent_calls_s: deque[float] = deque(maxlen=_RECENT_CALLS)
 
     @property
@@ -249,6 +252,7 @@
                 self._log.emit(
                     Event.STORE_RESTORED, era=era, previous_era=self._era
                 )
+                self.on_restored()
             self._era = era
         return era
 
@@ -510,6 +514,10 @@
         self._client.metrics.version_refused_since_s.set(since_unix_s)
 
 
+def _do_nothing() -> None:
+    """Ignore that the store has returned from a copy."""
+
+
 def _version_of(row: _StoreRow) -> Version | None:
     try:
         return decode_version(row.content())
--- a/src/ragwortstand/sidecar.py
+++ b/src/ragwortstand/sidecar.py
@@ -208,6 +208,10 @@
             self._members.update_own(store_reach=reach)
             self._schedule_announcement()
 
+    def check_stored_rows(self) -> None:
+        """Write rows again that the store has lost with its last writes."""
+        self._discovery.check_rows()
+
     def _build_peers(self) -> None:
         daemon = self._settings.daemon
         address = f'{daemon.peers.address}:{daemon.peers.port}'
--- a/tests/test_member_discovery.py
+++ b/tests/test_member_discovery.py
@@ -14,6 +14,7 @@
 from ragwortstand.settings import MembershipSettings
 from ragwortstand.storage import EntryPoint
 from ragwortstand.storage.table import Transaction, Write
+from ragwortstand.tools.standin_platform import Table
 from tests.fakes import FakePlatform, ListLog, member
 
 
@@ -45,7 +46,7 @@
         self.seeds: tuple[PeerAddress, ...] = ()
 
     async def _run(self, seconds: float = 0.6) -> None:
-        discovery = MemberDiscovery(
+        self.discovery = MemberDiscovery(
             self.members,
             self.gossip,  # type: ignore[arg-type]
             self.platform,
@@ -55,7 +56,7 @@
             random.Random(1),
         )
         with anyio.move_on_after(seconds):
-            await discovery.run()
+            await self.discovery.run()
 
     def _put(self, name: str, text: str | None = None) -> None:
         found = member(name)
@@ -150,3 +151,21 @@
         self.gossip.fleet = [moved]
         await self._run()
         self.assertEqual(self.gossip.joined, ['tcp://b:2'])
+
+
+class RestoredTableTests(_Base):
+    """The table returns from a copy without the rows of the last seconds."""
+
+    async def test_lost_rows_are_written_again_at_once(self) -> None:
+        """Guards against newcomers that find no other daemon for 15 s."""
+        others = [member(f'h{number}') for number in range(40)]
+        self.members.merge(others, 0.0)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._run, 2.0)
+            await anyio.sleep(0.6)
+            self.platform.table = Table()
+            self.discovery.check_rows()
+            await anyio.sleep(0.5)
+            found = len(self._hosts())
+            tasks.cancel_scope.cancel()
+        self.assertEqual(found, 41)
