Retry at a server without a rate limit after a refusal

Callers' calls were refused by up to four servers with a limit, one after the other, while servers without one had room.

Cause: each daemon spares a limited server only until its next token is due, so with many of them another one is always next. The published limits were no input of a retry.

Change: for a retry, a server that names a limit costs at least a whole target, as one that has just refused.

Measured: the test fails before.

--- a/src/ragwortstand/peers/latency_objective_choice.py
+++ b/src/ragwortstand/peers/latency_objective_choice.py
@@ -299,24 +299,31 @@
         now_s: float,
     ) -> _Candidate:
         """Return a drawn server that meets the objective, or the cheapest."""
+        is_retry = bool(tried)
         drawn = self._draw(tier, rank, tried, now_s)
         if drawn:
-            picked = self._least_busy(drawn, rank, now_s)
+            picked = self._least_busy(drawn, rank, is_retry, now_s)
             if picked.cost_s <= rank.target_s * _NEAR_FRACTION:
                 return picked
         usable = self._open_members(tier.members, tried, now_s)
         if not usable:
             return _Candidate(None, math.inf)
-        return self._cheapest(usable, rank, now_s)
+        return self._cheapest(usable, rank, is_retry, now_s)
 
     def _least_busy(
-        self, drawn: Sequence[Member], rank: Rank, now_s: float
+        self,
+        drawn: Sequence[Member],
+        rank: Rank,
+        is_retry: bool,
+        now_s: float,
     ) -> _Candidate:
         """Return the server with the lowest cost relative to its speed.
 
         Fast servers are drawn more often already.
         """
-        costs_s = [self._cost_s(member, rank, now_s) for member in drawn]
+        costs_s = [
+            self._cost_s(member, rank, is_retry, now_s) for member in drawn
+        ]
         _, position = min(
             (cost_s / self._service_s(member, rank) * self._jitter(), position)
             for position, (member, cost_s) in enumerate(
@@ -376,10 +383,14 @@
         self,
         members: Sequence[Member],
         rank: Rank,
+        is_retry: bool,
         now_s: float,
     ) -> _Candidate:
         cost_s, position = min(
-            (self._cost_s(member, rank, now_s) * self._jitter(), position)
+            (
+                self._cost_s(member, rank, is_retry, now_s) * self._jitter(),
+                position,
+            )
             for position, member in enumerate(members)
         )
         return _Candidate(members[position], cost_s)
@@ -387,12 +398,16 @@
     def _jitter(self) -> float:
         return self._rng.uniform(1, 1 + _COST_JITTER)
 
-    def _cost_s(self, member: Member, rank: Rank, now_s: float) -> float:
+    def _cost_s(
+        self, member: Member, rank: Rank, is_retry: bool, now_s: float
+    ) -> float:
         signal = self._signal(member)
+        # A server with a rate limit often refuses; one refusal is enough.
+        is_spared = is_retry and member.rate_limit is not None
         service_s = self._service_s(member, rank)
         load = self._load(member, signal, now_s)
         expected_s = service_s * max(1.0, load)
-        if signal.refused_until_s > now_s:
+        if is_spared or signal.refused_until_s > now_s:
             expected_s = max(expected_s, rank.target_s)
         failure_rate = signal.failure_rate
         if now_s - signal.failure_updated_at_s > _FAILURE_RATE_MAX_AGE_S:
--- a/tests/test_latency_objective_choice.py
+++ b/tests/test_latency_objective_choice.py
@@ -8,6 +8,7 @@
 from msgspec.structs import replace
 
 from ragwortstand.backend_servers import Load
+from ragwortstand.backend_servers.rate_limiter import ServerRateLimit
 from ragwortstand.ids import HostId, RegionName, ZoneName
 from ragwortstand.models import Rank
 from ragwortstand.peers.choice import Locality
@@ -84,6 +85,18 @@
 class ZoneBurstTests(_ChoiceTestCase):
     """One availability zone is overloaded; others have free slots."""
 
+    def test_retry_goes_to_a_server_without_a_rate_limit(self) -> None:
+        """Guards against refusals by several servers, one after the other."""
+        limit = ServerRateLimit(('i-1', 1), 10.0)
+        beside = replace(_BESIDE, rate_limit=limit)
+        far_limited = replace(member('c', zone='c1'), rate_limit=limit)
+        for members, expected in (
+            ((_NEAR, beside, far_limited, _FAR), 'far'),
+            ((_NEAR, beside), 'beside'),
+        ):
+            picked = self.choice.choose(members, _RANK, {_NEAR.host}, 0)
+            self.assertEqual(picked and picked.host, expected)
+
     def test_server_is_spared_until_its_rate_limit_has_room(self) -> None:
         self._record_call('near', Refused(Cause.RATE_LIMITED, 0.3), busy=0)
         self.assertEqual(self._count_choices(0.29), {'beside': 20})
