Give the signals of a backend server a class of their own

The class of the backend server had grown to hold four fields for them, and the line that a new server names no limit bore the instance of the one before.

Change: `SignalTracker` applies, restores and logs signals; it gets the present time as an argument. Behaviour is as before but for that line.

Measured: the tests of signals, limits and announcements pass; calls in them pass the present time, their assertions stand, and one on the instance is added.

--- a/src/ragwortstand/backend_servers/server.py
+++ b/src/ragwortstand/backend_servers/server.py
@@ -33,12 +33,10 @@
 )
 from ragwortstand.backend_servers.httptools_client import HttptoolsConnection
 from ragwortstand.backend_servers.in_band_signals import InBandSignals
-from ragwortstand.backend_servers.rate_limiter import (
-    RateLimiter,
-    ServerRateLimit,
-)
+from ragwortstand.backend_servers.rate_limiter import ServerRateLimit
 from ragwortstand.backend_servers.request_sender import RequestSender
 from ragwortstand.backend_servers.response_memory import ResponseMemoryBudget
+from ragwortstand.backend_servers.signal_tracker import SignalTracker
 from ragwortstand.calls import Call
 from ragwortstand.events import Event, EventLog
 from ragwortstand.ids import ServiceName
@@ -94,10 +92,8 @@
         self._admission = admission or _admission_for(settings)
         self._metrics = (metrics or Metrics()).backend_server
         self._departures = Departures()
-        self._signals = InBandSignals()
-        self._rate_limiter = RateLimiter()
-        self._restored_limit: ServerRateLimit | None = None
-        self._has_signalled = False
+        self._signals = SignalTracker(self._metrics, log)
+        self._rate_limiter = self._signals.rate_limiter
         self._suspect_lock = anyio.Lock()
         self._announced_at_s = 0.0
         self._cold_start_s: dict[str, float] = {}
@@ -130,10 +126,7 @@
     @property
     def rate_limit(self) -> ServerRateLimit | None:
         """Return the limit that the backend server names, None for none."""
-        limit_per_s = self._rate_limiter.limit_per_s
-        if self.announcement is None or limit_per_s is None:
-            return None
-        return ServerRateLimit(identity_of(self.announcement), limit_per_s)
+        return self._signals.rate_limit
 
     @property
     def in_flight(self) -> int:
@@ -208,16 +201,13 @@
             self.announcement = replace(previous, is_draining=True)
             self._set_state(BackendState.DRAINING)
 
-    def restore_rate_limit(self, limit: ServerRateLimit) -> None:
+    def restore_rate_limit(self, limit: ServerRateLimit, now_s: float) -> None:
         """Apply the limit that an earlier process of this daemon knew.
 
-        It is ignored once the backend server has responded to this process.
-
         :param limit: the limit, with the backend server that named it.
+        :param now_s: present time.
         """
-        self._restored_limit = limit
-        if self.announcement and not self._has_signalled:
-            self._apply_signals(self._restored_signals(self.announcement))
+        self._signals.restore(limit, now_s)
 
     def expire(self, now_s: float) -> None:
         """Mark the backend server as down when its announcements stop.
@@ -354,42 +344,16 @@
 
     def _handle_restart(self, announcement: Announcement, now_s: float) -> None:
         self._request_sender.open(announcement)
-        self._has_signalled = False
-        self._apply_signals(self._restored_signals(announcement))
+        self._signals.open(identity_of(announcement), now_s)
         cold_start_s = self._cold_start_s.get(announcement.service, 0)
         cold_start_s = max(cold_start_s, announcement.cold_s)
         self._admission.open(announcement.slots, cold_start_s, now_s)
 
-    def _restored_signals(self, announcement: Announcement) -> InBandSignals:
-        restored = self._restored_limit
-        if restored and restored.identity == identity_of(announcement):
-            return InBandSignals(restored.per_s)
-        return InBandSignals()
-
     def _handle_signals(self, signals: InBandSignals) -> None:
-        self._has_signalled = True
-        self._apply_signals(signals)
+        self._signals.record(signals, clock.now_s())
         if signals.is_leaving and self.announcement:
             self.depart(*identity_of(self.announcement))
 
-    def _apply_signals(self, signals: InBandSignals) -> None:
-        """Apply and log a change of what the backend server says of itself."""
-        if signals == self._signals:
-            return
-        self._signals = signals
-        limit_per_s = signals.rate_limit_per_s
-        if signals.problem:
-            limit_per_s = self._rate_limiter.limit_per_s
-        self._rate_limiter.set_limit(limit_per_s, clock.now_s())
-        self._metrics.set_rate_limit(limit_per_s)
-        self._log.emit(
-            Event.SERVER_SIGNALS,
-            instance=self.announcement.instance if self.announcement else '',
-            rate_limit_per_s=limit_per_s,
-            is_leaving=signals.is_leaving,
-            problem=signals.problem,
-        )
-
     def _mark_down(self, problem: str) -> None:
         if self.state is BackendState.READY:
             self._set_state(BackendState.DOWN, problem)
--- a/src/ragwortstand/sidecar.py
+++ b/src/ragwortstand/sidecar.py
@@ -426,7 +426,9 @@
         It is which backend server has left, and the limit of the present one.
         """
         if update.rate_limit and update.boot != self._boot:
-            self._backend_server.restore_rate_limit(update.rate_limit)
+            self._backend_server.restore_rate_limit(
+                update.rate_limit, clock.now_s()
+            )
         known_departure = self._backend_server.last_departed
         if (
             update.departed
--- a/tests/test_in_band_signals.py
+++ b/tests/test_in_band_signals.py
@@ -146,6 +146,12 @@
             if event is Event.SERVER_SIGNALS
         ]
         self.assertEqual(limits, [1000.0, None])
+        instances = {
+            line['instance']
+            for event, line in zip(log.events, log.lines, strict=True)
+            if event is Event.SERVER_SIGNALS
+        }
+        self.assertEqual(instances, {'i-1'})
         rendered = metrics.render()
         self.assertIn(b'ragwort_backend_requests_total 3.0', rendered)
         self.assertIn(b'per_second -1.0', rendered)
--- a/tests/test_rate_limited_servers.py
+++ b/tests/test_rate_limited_servers.py
@@ -181,15 +181,15 @@
             with self.subTest(is_late=is_late):
                 self.setUp()
                 if not is_late:
-                    self.server.restore_rate_limit(self.limit)
+                    self.server.restore_rate_limit(self.limit, clock.now_s())
                 await self._announce(Endpoint('127.0.0.1', 1))
                 if is_late:
-                    self.server.restore_rate_limit(self.limit)
+                    self.server.restore_rate_limit(self.limit, clock.now_s())
                 outcome = await self.server.run(new_call('a', 1.0))
                 self.assertEqual(outcome, Refused(Cause.RATE_LIMITED, mock.ANY))
 
     async def test_limit_of_another_boot_is_ignored(self) -> None:
-        self.server.restore_rate_limit(self.limit)
+        self.server.restore_rate_limit(self.limit, clock.now_s())
         await self._announce(Endpoint('127.0.0.1', 1), boot=2000)
         self.assertIsNone(self.server.rate_limit)
 
@@ -197,7 +197,7 @@
         async with running_server(answering(response())) as endpoint:
             await self._announce(endpoint)
             await self.server.run(new_call('a', 1.0))
-        self.server.restore_rate_limit(self.limit)
+        self.server.restore_rate_limit(self.limit, clock.now_s())
         self.assertIsNone(self.server.rate_limit)
 
     async def _announce(self, endpoint: Endpoint, **changes) -> None:
