Spare rate-limited servers in the daemon of the product's own interface

Callers of `ragwortd` were refused while servers without a limit were idle: the server on the caller's host went first whatever it had refused, and retries soon had no budget left.

Cause: the refusal was new to its choice and to its retry policy; only the sidecar's knew it.

Change: the choice blocks a server until its next token is due, and another attempt after such a refusal, which has reached no server, is not counted as a retry.

Measured: both tests fail before. No run with processes: the sidecar's path is not touched.

--- a/src/ragwortstand/peers/choice.py
+++ b/src/ragwortstand/peers/choice.py
@@ -10,7 +10,13 @@
 from ragwortstand.models import Rank
 from ragwortstand.peers.messages import Member
 from ragwortstand.settings import DaemonSettings
-from ragwortstand.verdicts import Answered, Cause, Outcome
+from ragwortstand.verdicts import (
+    Answered,
+    Cause,
+    Outcome,
+    Refused,
+    Unknown,
+)
 
 _SMOOTHING_FACTOR = 0.2
 _LATENCY_MAX_AGE_S = 3.0
@@ -184,10 +190,8 @@
             signal.latency_s += weight * (taken_s - signal.latency_s)
             _update_baseline(signal, now_s)
             signal.failures = 0
-        elif outcome.cause in _BLOCKING_CAUSES:
-            self._block(signal, now_s)
-        elif outcome.cause is Cause.DEADLINE:
-            signal.latency_s = max(signal.latency_s, taken_s)
+        else:
+            self._record_failure(signal, outcome, taken_s, now_s)
         signal.last_outcome_at_s = now_s
 
     def record_size(self, rank: Rank, size_bytes: int) -> None:
@@ -289,6 +293,22 @@
             default=None,
         )
 
+    def _record_failure(
+        self,
+        signal: Signal,
+        outcome: Refused | Unknown,
+        taken_s: float,
+        now_s: float,
+    ) -> None:
+        if outcome.cause in _BLOCKING_CAUSES:
+            self._block(signal, now_s)
+        elif outcome.cause is Cause.DEADLINE:
+            signal.latency_s = max(signal.latency_s, taken_s)
+        elif isinstance(outcome, Refused) and (
+            outcome.cause is Cause.RATE_LIMITED
+        ):
+            signal.blocked_until_s = now_s + outcome.retry_after_s
+
     def _block(self, signal: Signal, now_s: float) -> None:
         block_s = min(_BLOCK_MAX_S, _BLOCK_MIN_S * 2**signal.failures)
         signal.failures += 1
--- a/src/ragwortstand/peers/retries.py
+++ b/src/ragwortstand/peers/retries.py
@@ -29,6 +29,11 @@
 )
 
 
+# Refusals after which another attempt is not counted as a retry: a suspect is
+# forwarded to its owner, and a rate-limited server has got nothing.
+_FREE_CAUSES = frozenset((Cause.RATE_LIMITED, Cause.SUSPECT))
+
+
 class RetryPolicy(Protocol):
     """Decides whether a request gets another attempt."""
 
@@ -66,8 +71,7 @@
             return False
         if not _may_repeat(call, outcome, now_s):
             return False
-        if outcome.cause is Cause.SUSPECT:
-            # Forwarding a suspect to its owner is not counted as a retry.
+        if outcome.cause in _FREE_CAUSES:
             return True
         if budget.tokens < 1:
             return False
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -55,6 +55,13 @@
         _record_call(choice, 'near', busy=2)
         self.assertEqual(_pick(choice, _MEMBERS), 'zone')
 
+    def test_host_is_spared_until_its_rate_limit_has_room(self) -> None:
+        """Guards against refusals while servers without a limit are idle."""
+        choice = _choice()
+        _record_call(choice, 'near', Refused(Cause.RATE_LIMITED, 0.3))
+        self.assertEqual(_pick(choice, _MEMBERS, now_s=0.29), 'zone')
+        self.assertEqual(_pick(choice, _MEMBERS, now_s=0.31), 'near')
+
     def test_slow_host_loses_and_regains_traffic(self) -> None:
         """A slow backend server is avoided, and tried again later."""
         choice = _choice()
@@ -184,6 +191,16 @@
                 attempts += 1
         self.assertLessEqual(attempts, 1000 * 1.2)
 
+    def test_refusals_for_a_rate_limit_need_no_budget(self) -> None:
+        """They have reached no backend server, and others may be idle."""
+        limited = Refused(Cause.RATE_LIMITED)
+        policy = BudgetedRetries()
+        for _ in range(50):
+            self.assertTrue(policy.allows(_call(), limited, 0))
+        last = _call()
+        last.attempt = 3
+        self.assertFalse(policy.allows(last, limited, 0))
+
     def test_sending_a_suspect_to_its_owner_is_free(self) -> None:
         """Forwarding a suspect to its owner does not use the budget."""
         retries = BudgetedRetries()
