Read a rate limit as a plain decimal number only

A header such as `1_0` or `1e3` was taken for a limit, as Python reads both as numbers.

Change: digits and a point; anything else is a limit that can't be read, which leaves the last one in force and is logged.

Measured: the test fails before with the new cases.

--- a/src/ragwortstand/backend_servers/in_band_signals.py
+++ b/src/ragwortstand/backend_servers/in_band_signals.py
@@ -4,11 +4,12 @@
 all hosts together, and that it is about to stop.
 """
 
-import math
+import re
 from dataclasses import dataclass
 
 from ragwortstand.verdicts import Headers
 
+_DECIMAL_NUMBER = re.compile(rb'[0-9]{1,12}([.][0-9]{0,12})?')
 _MAX_LOGGED_LENGTH = 40
 
 
@@ -67,9 +68,4 @@
 
 
 def _parse_limit(text: bytes) -> float | None:
-    try:
-        limit_per_s = float(text)
-    except ValueError:
-        return None
-    is_valid = math.isfinite(limit_per_s) and limit_per_s >= 0
-    return limit_per_s if is_valid else None
+    return float(text) if _DECIMAL_NUMBER.fullmatch(text) else None
--- a/tests/test_in_band_signals.py
+++ b/tests/test_in_band_signals.py
@@ -85,7 +85,16 @@
         self.assertEqual(found, InBandSignals(7.5))
 
     def test_unreadable_limits_have_a_problem(self) -> None:
-        for text in (b'', b'many', b'-1', b'nan', b'inf'):
+        for text in (
+            b'',
+            b'many',
+            b'-1',
+            b'nan',
+            b'inf',
+            b'1_0',
+            b'1e3',
+            b'9' * 400,
+        ):
             found = _signals(_SIGNED, (_LIMIT, text))
             assert found is not None
             self.assertIn('is no rate', found.problem)
