Choose among servers that all name a limit of zero

Each request for a service whose servers of one zone, more than three, all name a limit of zero would have failed with an error of the daemon's own.

Cause: servers are drawn by their capacity, and no draw is possible where all capacities are zero.

Change: the capacity of a server with a limit is at least 0.1 requests a second; its daemon refuses what is too much.

Measured: the test fails before (`Total of weights must be greater than zero`).

--- a/src/ragwortstand/peers/latency_objective_choice.py
+++ b/src/ragwortstand/peers/latency_objective_choice.py
@@ -66,6 +66,8 @@
 # send to the same one, as the reported loads are older than their requests.
 _DRAWN = 3
 _MAX_DRAWS = 2 * _DRAWN
+# Capacity of a server that takes no requests at present; it is tried at times.
+_MIN_CAPACITY_PER_S = 0.1
 # Interval after which the probabilities of a tier's servers are computed again.
 _WEIGHTS_MAX_AGE_S = 0.5
 _UNREACHABLE_CAUSES = frozenset(
@@ -372,7 +374,8 @@
     def _capacity_per_s(self, member: Member, rank: Rank) -> float:
         capacity_per_s = max(1, member.slots) / self._service_s(member, rank)
         if member.rate_limit:
-            return min(capacity_per_s, member.rate_limit.per_s)
+            limit_per_s = max(_MIN_CAPACITY_PER_S, member.rate_limit.per_s)
+            return min(capacity_per_s, limit_per_s)
         return capacity_per_s
 
     def _service_s(self, member: Member, rank: Rank) -> float:
--- a/tests/test_rate_limited_servers.py
+++ b/tests/test_rate_limited_servers.py
@@ -76,6 +76,14 @@
     return limit_per_s * _WINDOW_S * _TOLERANCE + _TOLERATED_REQUESTS
 
 
+def _new_choice() -> LatencyObjectiveChoice:
+    return LatencyObjectiveChoice(
+        Locality(HostId('own'), ZoneName('a1'), RegionName('a')),
+        lambda now_s: Load(10, 0, 0),
+        random.Random(1),
+    )
+
+
 class RateLimiterTests(unittest.TestCase):
     """When requests are sent to a server that names a limit."""
 
@@ -219,16 +227,21 @@
         ):
             self.assertEqual(known.is_like(other), is_like, other)
 
+    def test_a_choice_is_left_where_all_servers_take_nothing(self) -> None:
+        """Guards against an error for each request of such a service."""
+        limit = ServerRateLimit(('i-1', 1), 0.0)
+        members = tuple(
+            msgspec.structs.replace(member(f'h{number}'), rate_limit=limit)
+            for number in range(8)
+        )
+        self.assertIn(_new_choice().choose(members, _URGENT, (), 0), members)
+
     def test_daemons_draw_a_limited_server_less_often(self) -> None:
         limit = ServerRateLimit(('i-1', 1), 10.0)
         others = [member(f'h{number}') for number in range(7)]
         limited = msgspec.structs.replace(member('limited'), rate_limit=limit)
         members = (limited, *others)
-        choice = LatencyObjectiveChoice(
-            Locality(HostId('own'), ZoneName('a1'), RegionName('a')),
-            lambda now_s: Load(10, 0, 0),
-            random.Random(1),
-        )
+        choice = _new_choice()
         chosen: Counter[HostId] = Counter()
         for _ in range(1600):
             picked = choice.choose(members, _URGENT, (), 0)
