Share settings and steps between the tests of this change

The tests of signals had their own copy of the sidecar's settings, and those of a restored store repeated their first and last steps.

Assertions and bounds are the same. No change of the code.

--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -7,6 +7,11 @@
 from ragwortstand.exceptions import PlatformError
 from ragwortstand.ids import HostId, PeerAddress, RegionName, ZoneName
 from ragwortstand.peers.messages import Member, MemberState
+from ragwortstand.settings import (
+    AdminSettings,
+    DaemonSettings,
+    PlatformSettings,
+)
 from ragwortstand.storage.table import Row, Transaction, TransactionResult
 from ragwortstand.tools.standin_platform import Table
 from ragwortstand.verdicts import Verdict
@@ -23,6 +28,15 @@
     ),
 )
 
+SIDECAR_SETTINGS = DaemonSettings(
+    cluster='c',
+    host='h',
+    region='r',
+    availability_zone='z',
+    admin=AdminSettings(token='0123456789abcdef'),
+    platform=PlatformSettings(url='http://s', region='r'),
+)
+
 
 def member(
     name: str,
--- a/tests/test_in_band_signals.py
+++ b/tests/test_in_band_signals.py
@@ -24,24 +24,11 @@
     STAMP,
     PlatformBackendDialect,
 )
-from ragwortstand.settings import (
-    AdminSettings,
-    DaemonSettings,
-    PlatformSettings,
-)
 from ragwortstand.verdicts import Answered, Cause, Refused
-from tests.fakes import ListLog
+from tests.fakes import SIDECAR_SETTINGS, ListLog
 from tests.forwarded import new_call
 from tests.servers import answering, running_server
 
-SETTINGS = DaemonSettings(
-    cluster='c',
-    host='h',
-    region='r',
-    availability_zone='z',
-    admin=AdminSettings(token='0123456789abcdef'),
-    platform=PlatformSettings(url='http://s', region='r'),
-)
 _SIGNED = (STAMP, b's')
 _LIMIT = b'server-limit'
 _LEAVING = (b'server-leaving', b'1')
@@ -132,7 +119,7 @@
     async def test_log_and_metrics_show_a_limit_and_its_end(self) -> None:
         log, metrics = ListLog(), Metrics()
         server = BackendServer(
-            SETTINGS,
+            SIDECAR_SETTINGS,
             log,
             PlatformBackendDialect(),
             LatencyObjectiveAdmission(),
@@ -173,7 +160,7 @@
         """Create the daemon's part for one server."""
         self.changes: list[BackendState] = []
         self.server = BackendServer(
-            SETTINGS,
+            SIDECAR_SETTINGS,
             ListLog(),
             PlatformBackendDialect(),
             LatencyObjectiveAdmission(),
--- a/tests/test_platform_control.py
+++ b/tests/test_platform_control.py
@@ -14,12 +14,7 @@
 from ragwortstand.events import Event
 from ragwortstand.http_server import CallerRequest
 from ragwortstand.platform.control import ControlApi, ReadyApi
-from ragwortstand.settings import (
-    AdminSettings,
-    DaemonSettings,
-    PlatformSettings,
-)
-from tests.fakes import ListLog
+from tests.fakes import SIDECAR_SETTINGS, ListLog
 
 _ADDRESS = '10.1.0.41:8628'
 _HEARTBEAT = {
@@ -33,14 +28,6 @@
     'seq': 4,
     'born': 1000,
 }
-_SETTINGS = DaemonSettings(
-    cluster='c',
-    host='h',
-    region='r',
-    availability_zone='z',
-    admin=AdminSettings(token='0123456789abcdef'),
-    platform=PlatformSettings(url='http://s', region='r'),
-)
 
 
 class _Receiver:
@@ -48,7 +35,7 @@
 
     def __init__(self) -> None:
         self.server = BackendServer(
-            _SETTINGS, ListLog(), admission=LatencyObjectiveAdmission()
+            SIDECAR_SETTINGS, ListLog(), admission=LatencyObjectiveAdmission()
         )
         self.announcements: list[Announcement] = []
         self.now_s = 0.0
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -267,12 +267,24 @@
                 break
         return found
 
+    async def _read_seven(self, fixture: _Fixture) -> None:
+        """Read version 7 before a write that the copy will lack."""
+        fixture.store.put('op', 'config', row_of(7))
+        fixture.store.put('ragwortstand', 'lost', b'')
+        await fixture.versions.head()
+
+    async def _assert_one_poll_finds(
+        self, fixture: _Fixture, version: int
+    ) -> None:
+        with anyio.fail_after(0.5):
+            await fixture.versions.wait(is_reader=True)
+        record = await fixture.versions.head()
+        self.assertEqual(record and record.version, version)
+
     async def test_version_with_a_number_of_lost_history_is_read(self) -> None:
         """Guards against waiting after a position of the lost history."""
         async with _fixture() as fixture:
-            fixture.store.put('op', 'config', row_of(7))
-            fixture.store.put('ragwortstand', 'lost', b'')
-            await fixture.versions.head()
+            await self._read_seven(fixture)
             fixture.store.restore(1)
             fixture.store.put('op', 'config', row_of(9))
             self.assertEqual(await self._follow(fixture, 9), 9)
@@ -294,9 +306,7 @@
         self,
     ) -> None:
         async with _fixture() as fixture:
-            fixture.store.put('op', 'config', row_of(7))
-            fixture.store.put('ragwortstand', 'lost', b'')
-            await fixture.versions.head()
+            await self._read_seven(fixture)
             fixture.store.restore(1)
             with anyio.move_on_after(0.5):
                 while True:
@@ -308,37 +318,25 @@
     async def test_version_is_read_at_once_after_the_outage(self) -> None:
         """The feed would wait for seconds after a position of lost history."""
         async with _fixture() as fixture:
-            fixture.store.put('op', 'config', row_of(7))
-            fixture.store.put('ragwortstand', 'lost', b'')
-            await fixture.versions.head()
+            await self._read_seven(fixture)
             fixture.store.faults.append(StoreFault.BUSY)
             await fixture.versions.wait(is_reader=True)
             fixture.store.restore(1)
             fixture.store.put('op', 'config', row_of(9))
-            with anyio.fail_after(0.5):
-                await fixture.versions.wait(is_reader=True)
-            record = await fixture.versions.head()
-            self.assertEqual(record and record.version, 9)
+            await self._assert_one_poll_finds(fixture, 9)
 
     async def test_new_reader_is_not_held_up_by_the_feed(self) -> None:
         async with _fixture() as fixture:
-            fixture.store.put('op', 'config', row_of(7))
-            fixture.store.put('ragwortstand', 'lost', b'')
-            await fixture.versions.head()
+            await self._read_seven(fixture)
             await fixture.versions.wait(is_reader=False)
             fixture.store.restore(1)
             fixture.store.put('op', 'config', row_of(9))
-            with anyio.fail_after(0.5):
-                await fixture.versions.wait(is_reader=True)
-            record = await fixture.versions.head()
-            self.assertEqual(record and record.version, 9)
+            await self._assert_one_poll_finds(fixture, 9)
 
     async def test_feed_is_not_polled_without_pause(self) -> None:
         """Guards against reads that use up the rate of all daemons."""
         async with _fixture() as fixture:
-            fixture.store.put('op', 'config', row_of(7))
-            fixture.store.put('ragwortstand', 'lost', b'')
-            await fixture.versions.head()
+            await self._read_seven(fixture)
             fixture.store.restore(1)
             fixture.store.calls.clear()
             with anyio.move_on_after(1.0):
--- a/tests/test_rate_limited_servers.py
+++ b/tests/test_rate_limited_servers.py
@@ -40,10 +40,10 @@
     sidecar_policy,
 )
 from ragwortstand.verdicts import Cause, Refused
-from tests.fakes import ListLog, member
+from tests.fakes import SIDECAR_SETTINGS, ListLog, member
 from tests.forwarded import new_call
 from tests.servers import answering, running_server
-from tests.test_in_band_signals import SETTINGS, announcement, response
+from tests.test_in_band_signals import announcement, response
 
 _URGENT = Rank(name='urgent', target_s=0.25)
 _BULK = Rank(name='bulk', target_s=1.0)
@@ -176,7 +176,7 @@
     def setUp(self) -> None:
         """Create the daemon's part after the restart."""
         self.server = BackendServer(
-            SETTINGS,
+            SIDECAR_SETTINGS,
             ListLog(),
             PlatformBackendDialect(),
             LatencyObjectiveAdmission(),
