Keep tokens for the most urgent rank that a server gets

Cause: tokens were kept for the most urgent rank of the configuration. Class of fault: a global order where the local one is meant.

Change: half of the bucket is kept for the most urgent rank that the server got a request of in the last 3 s.

Measured: the test fails before (none of 199 calls sent beside a flood of less urgent work, now over 195).

--- a/src/ragwortstand/backend_servers/rate_limiter.py
+++ b/src/ragwortstand/backend_servers/rate_limiter.py
@@ -18,6 +18,8 @@
 _DEPTH_S = 0.25
 # Share of the bucket that is kept for the most urgent rank.
 _URGENT_SHARE = 0.5
+# Time without a request after which nothing is kept for a rank.
+_RANK_MEMORY_S = 3.0
 # A server that gets no requests can't withdraw its limit, so a limit of zero
 # lets one request through in this time.
 _MAX_INTERVAL_S = 5.0
@@ -67,14 +69,16 @@
         self.limit_per_s: float | None = None
         self._tokens = 0.0
         self._updated_at_s = 0.0
-        self._most_urgent_rank = ''
+        self._orders: dict[str, int] = {}
+        self._seen_at_s: dict[str, float] = {}
 
     def configure(self, ranks: Iterable[Rank]) -> None:
         """Apply the ranks of a new configuration.
 
         :param ranks: from the most to the least urgent.
         """
-        self._most_urgent_rank = next((rank.name for rank in ranks), '')
+        self._orders = {rank.name: order for order, rank in enumerate(ranks)}
+        self._seen_at_s.clear()
 
     def set_limit(self, limit_per_s: float | None, now_s: float) -> None:
         """Apply the limit that the backend server named last.
@@ -98,14 +102,16 @@
     def refusal(self, rank: str, queued: int, now_s: float) -> Refused | None:
         """Return the refusal of a request that the limit leaves no room for.
 
-        Other ranks than the most urgent one leave a part of the bucket to it.
+        Other ranks than the most urgent one that the server gets leave a part
+        of the bucket to it.
 
         :param rank: name of its rank.
         :param queued: requests that wait for a slot and have no token yet.
         :param now_s: present time.
         """
         needed = queued + 1.0
-        if self._most_urgent_rank not in {'', rank}:
+        self._seen_at_s[rank] = now_s
+        if self._gets_more_urgent(rank, now_s):
             needed += min(self._depth * _URGENT_SHARE, self._depth - 1)
         return self._refusal_below(needed, now_s)
 
@@ -119,6 +125,15 @@
             self._tokens -= 1
         return refusal
 
+    def _gets_more_urgent(self, rank: str, now_s: float) -> bool:
+        """Return whether the server gets requests of a more urgent rank."""
+        order = self._orders.get(rank, len(self._orders))
+        since_s = now_s - _RANK_MEMORY_S
+        return any(
+            seen_at_s > since_s and self._orders.get(name, order) < order
+            for name, seen_at_s in self._seen_at_s.items()
+        )
+
     @property
     def _rate_per_s(self) -> float:
         return max(self.limit_per_s or 0.0, 1 / _MAX_INTERVAL_S)
--- a/tests/test_rate_limited_servers.py
+++ b/tests/test_rate_limited_servers.py
@@ -141,6 +141,26 @@
         self.assertGreater(sent[_URGENT.name], 195)
         self.assertGreater(sent[_BULK.name], 80)
 
+    def test_calls_go_first_at_a_server_without_the_most_urgent_rank(
+        self,
+    ) -> None:
+        """Guards against turning away calls of work that is in progress."""
+        call = Rank(name='call', target_s=0.06)
+        self.limiter.configure((_URGENT, call, _BULK))
+        self.limiter.set_limit(30, 0)
+        sent = 0
+        for step in range(1, 10000):
+            self._send(_BULK, step / 1000)
+            if step % 50 == 0:
+                sent += self._send(call, step / 1000)
+        self.assertGreater(sent, 195)
+
+    def test_nothing_is_kept_for_a_rank_that_has_gone(self) -> None:
+        self.limiter.set_limit(4.4, 0)
+        self._send(_URGENT, 0)
+        self.assertIsNotNone(self.limiter.refusal(_BULK.name, 0, 0.23))
+        self.assertIsNone(self.limiter.refusal(_BULK.name, 0, 10.0))
+
     def test_lower_limit_counts_at_once(self) -> None:
         self.limiter.set_limit(100, 0)
         self.limiter.set_limit(10, 1)
