--- a/src/ragwortstand/backend_servers/server.py
+++ b/src/ragwortstand/backend_servers/server.py
@@ -193,6 +193,15 @@
         :param boot: its boot number; 0 means unknown.
         """
         previous = self.announcement
+        self._log.emit(
+            Event.DEPARTURE,
+            instance=instance,
+            boot=boot,
+            present_instance=previous.instance if previous else '',
+            present_boot=previous.boot if previous else 0,
+            present_sequence=previous.sequence if previous else 0,
+            present_state=self.state.value,
+        )
         self._departures.record((instance, boot))
         if previous is None or previous.instance != instance:
             return
@@ -362,10 +371,14 @@
         if state is self.state:
             return
         self.state = state
+        announcement = self.announcement
         self._log.emit(
             Event.BACKEND_SERVER,
             state=state.value,
             service=self.service,
+            instance=announcement.instance if announcement else '',
+            boot=announcement.boot if announcement else 0,
+            sequence=announcement.sequence if announcement else 0,
             problem=problem,
         )
         self.on_change()
--- a/src/ragwortstand/events.py
+++ b/src/ragwortstand/events.py
@@ -38,6 +38,7 @@
     DRAINING = 'ragwort:draining'
     MEMBER = 'ragwort:member'
     BACKEND_SERVER = 'ragwort:backend-server'
+    DEPARTURE = 'ragwort:departure'
     SERVER_SIGNALS = 'ragwort:server-signals'
     PEER_MESSAGE_REFUSED = 'ragwort:peer-message-refused'
     LINK_SILENT = 'ragwort:link-silent'
--- a/tests/test_platform_control.py
+++ b/tests/test_platform_control.py
@@ -34,8 +34,9 @@
     """Records announcements and forwards them to a backend server."""
 
     def __init__(self) -> None:
+        self.log = ListLog()
         self.server = BackendServer(
-            SIDECAR_SETTINGS, ListLog(), admission=LatencyObjectiveAdmission()
+            SIDECAR_SETTINGS, self.log, admission=LatencyObjectiveAdmission()
         )
         self.announcements: list[Announcement] = []
         self.now_s = 0.0
@@ -52,6 +53,7 @@
     def setUp(self) -> None:
         """Create the API before any heartbeat."""
         self.receiver = _Receiver()
+        self.server_log = self.receiver.log
         self.log = ListLog()
         self.api = ControlApi(self.receiver, _ADDRESS, self.log)
 
@@ -178,6 +180,25 @@
         self.assertIs(again.server.state, BackendState.ABSENT)
 
 
+class LogTests(_Base):
+    """Lines by which a departure that had no effect can be told."""
+
+    async def test_departure_of_an_unknown_server(self) -> None:
+        await self._deregister()
+        self.assertEqual(self.server_log.events, [Event.DEPARTURE])
+        line = self.server_log.lines[0]
+        self.assertEqual((line['instance'], line['boot']), ('i-1', 0))
+        self.assertEqual(line['present_instance'], '')
+
+    async def test_departure_of_the_present_server(self) -> None:
+        await self._heartbeat()
+        await self._deregister()
+        departure, change = self.server_log.lines[-2:]
+        self.assertEqual(departure['present_sequence'], 4)
+        self.assertEqual(departure['present_state'], 'ready')
+        self.assertEqual((change['state'], change['boot']), ('draining', 1000))
+
+
 class ReadyTests(unittest.IsolatedAsyncioTestCase):
     """Readiness and metrics."""
 
