--- a/tests/test_platform_control.py
+++ b/tests/test_platform_control.py
@@ -1,6 +1,7 @@
 """Tests of heartbeats, deregistration and readiness, without a network."""
 
 import json
+import time
 import unittest
 
 from ragwortstand.backend_servers import (
@@ -162,6 +163,26 @@
         await self._heartbeat()
         self.assertIs(self._state, BackendState.ABSENT)
 
+    # A restarted daemon used a server again that had left before its first
+    # heartbeat to it, once an older heartbeat arrived.
+    async def test_before_any_heartbeat_without_a_boot(self) -> None:
+        await self._deregister()
+        await self._heartbeat()
+        self.assertIs(self._state, BackendState.ABSENT)
+
+    # The same, with a heartbeat of an earlier boot under the same id.
+    async def test_of_a_boot_that_is_not_known_yet(self) -> None:
+        await self._heartbeat(born=1000)
+        await self._deregister()
+        await self._heartbeat(born=2000, seq=3)
+        self.assertIs(self._state, BackendState.DRAINING)
+
+    async def test_new_boot_after_a_departure_without_a_boot(self) -> None:
+        await self._deregister()
+        born = int(time.time() * 1000) + 5000
+        await self._heartbeat(born=born, seq=1)
+        self.assertIs(self._state, BackendState.READY)
+
     async def test_unreadable(self) -> None:
         await self._heartbeat()
         self.assertEqual(await self._deregister(body=b'{'), 400)
