Take a departure that names no boot for one of all boots until then

Callers' requests reached a server after its leaving had been acknowledged (DRAIN). A server that deregisters names no boot; the daemon noted boot 0, and where it had not heard of that server before, as right after a restart, a heartbeat sent before the call and received after it matched no departure and made the server ready.

The adapter now numbers such a departure by the time of the call, as boots are numbered by the time of their start, and departures hold for all boots of an instance up to theirs. A new boot under the same id starts later and is used. Where the present boot is known, the departure holds for it whatever the clock says.

--- a/src/ragwortstand/backend_servers/announcements.py
+++ b/src/ragwortstand/backend_servers/announcements.py
@@ -43,22 +43,35 @@
 
 
 class Departures:
-    """Backend servers that have announced their departure.
+    """Backend servers that have left, with the highest boot that has.
 
-    Announcements of them that are received later are ignored, as they were
-    sent before the departure.
+    Announcements of these boots that are received later are ignored, as they
+    were sent before the departure.
+
+    :ivar last: the newest departure, None if there is none.
     """
 
     def __init__(self) -> None:
         """Create an empty record."""
-        self._departed: set[Identity] = set()
+        self._departed_boots: dict[str, int] = {}
         self.last: Identity | None = None
 
     def record(self, identity: Identity) -> None:
-        """Record that a backend server departs."""
-        self._departed.add(identity)
+        """Record that all boots of a backend server up to one have left.
+
+        :param identity: the backend server and the highest boot that left.
+        """
+        instance, boot = identity
+        known_boot = self._departed_boots.get(instance, boot)
+        self._departed_boots[instance] = max(boot, known_boot)
         self.last = identity
 
+    def has_departed(self, identity: Identity) -> bool:
+        """Return whether a boot of a backend server has left."""
+        instance, boot = identity
+        departed_boot = self._departed_boots.get(instance)
+        return departed_boot is not None and boot <= departed_boot
+
     def is_outdated(
         self,
         announcement: Announcement,
@@ -69,7 +82,7 @@
         :param announcement: the announcement just received.
         :param previous: the newest announcement so far, if any.
         """
-        if identity_of(announcement) in self._departed:
+        if self.has_departed(identity_of(announcement)):
             return True
         if previous is None:
             return False
--- a/src/ragwortstand/backend_servers/server.py
+++ b/src/ragwortstand/backend_servers/server.py
@@ -186,13 +186,23 @@
             else BackendState.READY
         )
 
-    def depart(self, instance: str, boot: int) -> None:
+    def depart(
+        self,
+        instance: str,
+        boot: int,
+        *,
+        is_upper_bound: bool = False,
+    ) -> None:
         """Mark a backend server as departed; it sends no more announcements.
 
         :param instance: the backend server.
-        :param boot: its boot number; 0 means unknown.
+        :param boot: its boot number; earlier boots have left, too.
+        :param is_upper_bound: whether the boot is not known and this is an
+            estimate that it does not exceed.
         """
         previous = self.announcement
+        if is_upper_bound and previous and previous.instance == instance:
+            boot = max(boot, previous.boot)
         self._log.emit(
             Event.DEPARTURE,
             instance=instance,
@@ -205,8 +215,7 @@
         self._departures.record((instance, boot))
         if previous is None or previous.instance != instance:
             return
-        if boot in {0, previous.boot}:
-            self._departures.record(identity_of(previous))
+        if previous.boot <= boot:
             self.announcement = replace(previous, is_draining=True)
             self._set_state(BackendState.DRAINING)
 
--- a/src/ragwortstand/platform/control.py
+++ b/src/ragwortstand/platform/control.py
@@ -1,5 +1,6 @@
 """ragwortstand.platform.control: serves readiness, metrics and heartbeats."""
 
+import time
 from collections.abc import Awaitable, Callable
 from typing import Protocol, TypeAlias
 
@@ -16,6 +17,7 @@
 _HEARTBEAT_ACTION = '/heartbeat'
 _DEREGISTER_ACTION = '/deregister'
 _MAX_INSTANCE_ID_LENGTH = 200
+_NANOSECONDS_PER_MS = 1_000_000
 _JSON_HEADERS: tuple[tuple[bytes, bytes], ...] = (
     (b'content-type', b'application/json'),
 )
@@ -24,6 +26,11 @@
 _Handler: TypeAlias = Callable[[str, bytes], Awaitable[None]]
 
 
+def _unix_ms() -> int:
+    """Return the time of day in Unix milliseconds."""
+    return time.time_ns() // _NANOSECONDS_PER_MS
+
+
 class _Heartbeat(msgspec.Struct, frozen=True, rename='camel'):
     service: str
     address: str
@@ -40,7 +47,8 @@
 
 
 class _Deregistration(msgspec.Struct, frozen=True):
-    born: int = 0
+    # None in calls without a body, which do not say which boot deregisters.
+    born: int | None = None
 
 
 class AnnouncementReceiver(Protocol):
@@ -49,10 +57,13 @@
     async def announce(self, announcement: Announcement) -> None:
         """Process an announcement of a backend server."""
 
-    async def depart(self, instance: str, boot: int) -> None:
-        """Process the deregistration of one boot of a backend server.
+    async def depart(
+        self, instance: str, boot: int, *, is_upper_bound: bool
+    ) -> None:
+        """Process the deregistration of a backend server.
 
-        The backend server is leaving and sends no more announcements.
+        All its boots up to the given one are leaving or have ended, and send
+        no more announcements. It is an upper bound where the call names none.
         """
 
 
@@ -87,6 +98,7 @@
     :param receiver: receives the decoded announcements and departures.
     :param address: ``host:port`` of the backend server on this host.
     :param log: logs invalid calls.
+    :param unix_ms: returns the time of day in Unix milliseconds.
     """
 
     def __init__(
@@ -94,11 +106,13 @@
         receiver: AnnouncementReceiver,
         address: str,
         log: EventLog,
+        unix_ms: Callable[[], int] = _unix_ms,
     ) -> None:
         """Create the API for the backend server at an address."""
         self._receiver = receiver
         self.address = address
         self._log = log
+        self._unix_ms = unix_ms
 
     async def answer(self, request: CallerRequest) -> Answered:
         """Handle a call of the backend server: 200, 400 or 404."""
@@ -153,7 +167,14 @@
         deregistration = msgspec.json.decode(
             body or b'{}', type=_Deregistration
         )
-        await self._receiver.depart(instance, deregistration.born)
+        born = deregistration.born
+        # Boots are numbered by the time of their start. One that starts after
+        # this call is a new backend server under the same id.
+        await self._receiver.depart(
+            instance,
+            self._unix_ms() if born is None else born,
+            is_upper_bound=born is None,
+        )
 
 
 def _parse_path(path: str) -> tuple[str, str]:
--- a/src/ragwortstand/sidecar.py
+++ b/src/ragwortstand/sidecar.py
@@ -190,13 +190,19 @@
         if previous_state is not self._backend_server.state:
             await self._announce_own_state()
 
-    async def depart(self, instance: str, boot: int) -> None:
+    async def depart(
+        self, instance: str, boot: int, *, is_upper_bound: bool
+    ) -> None:
         """Handle the departure of a backend server that announces no more.
 
         :param instance: the backend server.
-        :param boot: identifies its start; 0 if it is unknown.
+        :param boot: its boot number.
+        :param is_upper_bound: whether the boot is not known, and this number
+            only exceeds it.
         """
-        self._backend_server.depart(instance, boot)
+        self._backend_server.depart(
+            instance, boot, is_upper_bound=is_upper_bound
+        )
         await self._announce_own_state()
 
     def set_store_reach(self, reach: int) -> None:
--- a/tests/test_platform_control.py
+++ b/tests/test_platform_control.py
@@ -1,7 +1,6 @@
 """Tests of heartbeats, deregistration and readiness, without a network."""
 
 import json
-import time
 import unittest
 
 from ragwortstand.backend_servers import (
@@ -18,6 +17,7 @@
 from tests.fakes import SIDECAR_SETTINGS, ListLog
 
 _ADDRESS = '10.1.0.41:8628'
+_NOW_UNIX_MS = 5000
 _HEARTBEAT = {
     'service': 'huvo',
     'address': _ADDRESS,
@@ -46,8 +46,10 @@
         self.announcements.append(announcement)
         await self.server.announce(announcement, self.now_s)
 
-    async def depart(self, instance: str, boot: int) -> None:
-        self.server.depart(instance, boot)
+    async def depart(
+        self, instance: str, boot: int, *, is_upper_bound: bool
+    ) -> None:
+        self.server.depart(instance, boot, is_upper_bound=is_upper_bound)
 
 
 class _Base(unittest.IsolatedAsyncioTestCase):
@@ -56,7 +58,10 @@
         self.receiver = _Receiver()
         self.server_log = self.receiver.log
         self.log = ListLog()
-        self.api = ControlApi(self.receiver, _ADDRESS, self.log)
+        self.unix_ms = _NOW_UNIX_MS
+        self.api = ControlApi(
+            self.receiver, _ADDRESS, self.log, lambda: self.unix_ms
+        )
 
     async def _heartbeat(self, instance: str = 'i-1', **changes) -> int:
         return await self._post(
@@ -179,10 +184,16 @@
 
     async def test_new_boot_after_a_departure_without_a_boot(self) -> None:
         await self._deregister()
-        born = int(time.time() * 1000) + 5000
-        await self._heartbeat(born=born, seq=1)
+        await self._heartbeat(born=_NOW_UNIX_MS + 1, seq=1)
         self.assertIs(self._state, BackendState.READY)
 
+    async def test_clock_behind_the_start_of_the_server(self) -> None:
+        await self._heartbeat()
+        self.unix_ms = 500
+        await self._deregister()
+        await self._heartbeat(seq=5)
+        self.assertIs(self._state, BackendState.DRAINING)
+
     async def test_unreadable(self) -> None:
         await self._heartbeat()
         self.assertEqual(await self._deregister(body=b'{'), 400)
@@ -208,7 +219,9 @@
         await self._deregister()
         self.assertEqual(self.server_log.events, [Event.DEPARTURE])
         line = self.server_log.lines[0]
-        self.assertEqual((line['instance'], line['boot']), ('i-1', 0))
+        self.assertEqual(
+            (line['instance'], line['boot']), ('i-1', _NOW_UNIX_MS)
+        )
         self.assertEqual(line['present_instance'], '')
 
     async def test_departure_of_the_present_server(self) -> None:
