Apply an announcement before its crash is reported to peers

A heartbeat of a restarted server waits for peers to hear which requests were in flight at the crash. What came in between was overwritten when the wait was over: a departure of the same boot, or a later announcement that it drains, so that callers' requests went to a server that had said it was leaving.

The state is now applied first, in one step, and peers are told afterwards. The suspects are still recorded before any request can be sent, as nothing waits in between.

--- a/src/ragwortstand/backend_servers/server.py
+++ b/src/ragwortstand/backend_servers/server.py
@@ -167,14 +167,14 @@
             )
             return
         self._announced_at_s = now_s
-        if previous is None or identity_of(previous) != identity_of(
-            announcement
-        ):
-            await self.crash_detector.handle_restart(now_s)
+        is_restart = previous is None or (
+            identity_of(previous) != identity_of(announcement)
+        )
+        if is_restart:
             self._handle_restart(announcement, now_s)
         elif self.state is BackendState.DOWN:
             self._admission.open(announcement.slots, 0, now_s)
-        elif previous.is_draining and announcement.boot:
+        elif previous and previous.is_draining and announcement.boot:
             # A boot that has begun to drain never becomes ready again.
             announcement = replace(announcement, is_draining=True)
         self.announcement = announcement
@@ -185,6 +185,9 @@
             if announcement.is_draining
             else BackendState.READY
         )
+        if is_restart:
+            # Last, as it waits for peers while other calls are handled.
+            await self.crash_detector.handle_restart(now_s)
 
     def depart(
         self,
--- /dev/null
+++ b/tests/test_departures.py
@@ -0,0 +1,90 @@
+"""A backend server that has left is not used again."""
+
+import unittest
+from collections.abc import Awaitable, Callable
+
+import anyio
+
+from ragwortstand.backend_servers import (
+    Announcement,
+    BackendServer,
+    BackendState,
+)
+from ragwortstand.backend_servers.latency_objective_admission import (
+    LatencyObjectiveAdmission,
+)
+from ragwortstand.ids import Fingerprint, ServiceName
+from tests.fakes import SIDECAR_SETTINGS, ListLog
+from tests.forwarded import new_call
+
+
+def _server() -> BackendServer:
+    return BackendServer(
+        SIDECAR_SETTINGS, ListLog(), admission=LatencyObjectiveAdmission()
+    )
+
+
+def _announcement(**changes) -> Announcement:
+    fields = {
+        'instance': 'i-1',
+        'service': ServiceName('s'),
+        'address': '10.1.0.41',
+        'port': 8628,
+        'slots': 4,
+        'connections': 4,
+        'boot': 1000,
+        'sequence': 1,
+    }
+    return Announcement(**{**fields, **changes})
+
+
+class ConcurrentCallsTests(unittest.IsolatedAsyncioTestCase):
+    """Announcements and departures that are handled at the same time."""
+
+    def setUp(self) -> None:
+        """Create a server whose crashes are reported to peers slowly."""
+        self.server = _server()
+        self.reported = anyio.Event()
+        self.server.crash_detector.on_crash = self._report
+
+    async def _report(self, suspects: tuple[Fingerprint, ...]) -> None:
+        await self.reported.wait()
+
+    async def _lose_a_connection(self) -> None:
+        detector = self.server.crash_detector
+        await detector.cause_of_lost_connection(
+            new_call('r', 5.0), detector.in_flight, _accept
+        )
+
+    async def _during_announcement_of_restart(
+        self, action: Callable[[], Awaitable[None]]
+    ) -> None:
+        await self.server.announce(_announcement(), 0)
+        await self._lose_a_connection()
+        async with anyio.create_task_group() as tasks:
+            restarted = _announcement(boot=2000)
+            tasks.start_soon(self.server.announce, restarted, 1)
+            await anyio.wait_all_tasks_blocked()
+            await action()
+            self.reported.set()
+
+    # A departure that came while peers were told of a crash was overwritten by
+    # the announcement before it.
+    async def test_departure_while_a_crash_is_reported(self) -> None:
+        async def depart() -> None:
+            self.server.depart('i-1', 2000)
+
+        await self._during_announcement_of_restart(depart)
+        self.assertIs(self.server.state, BackendState.DRAINING)
+
+    async def test_later_announcement_while_a_crash_is_reported(self) -> None:
+        async def announce() -> None:
+            later = _announcement(boot=2000, sequence=2, is_draining=True)
+            await self.server.announce(later, 1)
+
+        await self._during_announcement_of_restart(announce)
+        self.assertIs(self.server.state, BackendState.DRAINING)
+
+
+async def _accept() -> bool:
+    return True
