Publish each departure of a server, also one that changes no state

Peers return to a restarted daemon which server has left. They were told only when the daemon's own view of its server changed, so not of the departure of a server that it had no heartbeat of: after the next restart nothing was known of it, and a late heartbeat would have made the server ready.

What is published of the server, and restored, moves from the sidecar to PublishedServer, which needs no network.

--- a/src/ragwortstand/backend_servers/server.py
+++ b/src/ragwortstand/backend_servers/server.py
@@ -99,6 +99,10 @@
         self._cold_start_s: dict[str, float] = {}
         self.announcement: Announcement | None = None
         self.state = BackendState.ABSENT
+        self._published: tuple[BackendState, Identity | None] = (
+            self.state,
+            None,
+        )
         self.crash_detector = CrashDetector(log)
         self._request_sender = RequestSender(
             settings.backend_server,
@@ -123,6 +127,10 @@
         """Return the backend server that departed last, None if none did."""
         return self._departures.last
 
+    def has_departed(self, identity: Identity) -> bool:
+        """Return whether a boot of a backend server is known to have left."""
+        return self._departures.has_departed(identity)
+
     @property
     def rate_limit(self) -> ServerRateLimit | None:
         """Return the limit that the backend server names, None for none."""
@@ -172,19 +180,7 @@
         )
         if is_restart:
             self._handle_restart(announcement, now_s)
-        elif self.state is BackendState.DOWN:
-            self._admission.open(announcement.slots, 0, now_s)
-        elif previous and previous.is_draining and announcement.boot:
-            # A boot that has begun to drain never becomes ready again.
-            announcement = replace(announcement, is_draining=True)
-        self.announcement = announcement
-        if announcement.is_draining and announcement.boot:
-            self._departures.record(identity_of(announcement))
-        self._set_state(
-            BackendState.DRAINING
-            if announcement.is_draining
-            else BackendState.READY
-        )
+        self._apply(announcement, now_s)
         if is_restart:
             # Last, as it waits for peers while other calls are handled.
             await self.crash_detector.handle_restart(now_s)
@@ -216,11 +212,11 @@
             present_state=self.state.value,
         )
         self._departures.record((instance, boot))
-        if previous is None or previous.instance != instance:
-            return
-        if previous.boot <= boot:
+        state = self.state
+        if previous and self.has_departed(identity_of(previous)):
             self.announcement = replace(previous, is_draining=True)
-            self._set_state(BackendState.DRAINING)
+            state = BackendState.DRAINING
+        self._set_state(state)
 
     def restore_rate_limit(self, limit: ServerRateLimit, now_s: float) -> None:
         """Apply the limit that an earlier process of this daemon knew.
@@ -363,6 +359,23 @@
         self._metrics.requests.inc()
         return await self._request_sender.run(call)
 
+    def _apply(self, announcement: Announcement, now_s: float) -> None:
+        previous = self.announcement
+        if previous and identity_of(previous) == identity_of(announcement):
+            if self.state is BackendState.DOWN:
+                self._admission.open(announcement.slots, 0, now_s)
+            elif previous.is_draining and announcement.boot:
+                # A boot that has begun to drain never becomes ready again.
+                announcement = replace(announcement, is_draining=True)
+        self.announcement = announcement
+        if announcement.is_draining and announcement.boot:
+            self._departures.record(identity_of(announcement))
+        self._set_state(
+            BackendState.DRAINING
+            if announcement.is_draining
+            else BackendState.READY
+        )
+
     def _handle_restart(self, announcement: Announcement, now_s: float) -> None:
         self._request_sender.open(announcement)
         self._signals.open(identity_of(announcement), now_s)
@@ -372,28 +385,35 @@
 
     def _handle_signals(self, signals: InBandSignals) -> None:
         self._signals.record(signals, clock.now_s())
-        if signals.is_leaving and self.announcement:
-            self.depart(*identity_of(self.announcement))
+        if not signals.is_leaving or self.announcement is None:
+            return
+        identity = identity_of(self.announcement)
+        if not self.has_departed(identity):
+            self.depart(*identity)
 
     def _mark_down(self, problem: str) -> None:
         if self.state is BackendState.READY:
             self._set_state(BackendState.DOWN, problem)
 
     def _set_state(self, state: BackendState, problem: str = '') -> None:
-        if state is self.state:
-            return
-        self.state = state
         announcement = self.announcement
-        self._log.emit(
-            Event.BACKEND_SERVER,
-            state=state.value,
-            service=self.service,
-            instance=announcement.instance if announcement else '',
-            boot=announcement.boot if announcement else 0,
-            sequence=announcement.sequence if announcement else 0,
-            problem=problem,
-        )
-        self.on_change()
+        if state is not self.state:
+            self.state = state
+            self._log.emit(
+                Event.BACKEND_SERVER,
+                state=state.value,
+                service=self.service,
+                instance=announcement.instance if announcement else '',
+                boot=announcement.boot if announcement else 0,
+                sequence=announcement.sequence if announcement else 0,
+                problem=problem,
+            )
+        # A departure is published also where it changes no state: peers return
+        # it when this daemon has been restarted.
+        current = (state, self.last_departed)
+        if current != self._published:
+            self._published = current
+            self.on_change()
 
 
 def _admission_for(settings: DaemonSettings) -> Admission:
--- a/src/ragwortstand/sidecar.py
+++ b/src/ragwortstand/sidecar.py
@@ -15,7 +15,6 @@
 from ragwortstand.backend_servers import (
     Announcement,
     BackendServer,
-    BackendState,
 )
 from ragwortstand.backend_servers.latency_objective_admission import (
     LatencyObjectiveAdmission,
@@ -55,6 +54,7 @@
 from ragwortstand.peers.stream_listener import StreamListener
 from ragwortstand.peers.streams import StreamLinks
 from ragwortstand.peers.version_sources import DistributionPolicy
+from ragwortstand.published_server import PublishedServer
 from ragwortstand.settings import Listen
 from ragwortstand.sidecar_dependencies import (
     SidecarDependencies,
@@ -300,6 +300,9 @@
             metrics=self._metrics,
         )
         self._backend_server.on_change = self._on_backend_server
+        self._published_server = PublishedServer(
+            self._backend_server, self._members
+        )
         self._gate.subscribe(self._backend_server.configure)
         self._forwarder = Forwarder(self._links)
         crash_notifier = CrashNotifier(
@@ -393,15 +396,7 @@
         while True:
             await anyio.sleep(_EXPIRY_INTERVAL_S)
             self._backend_server.expire(clock.now_s())
-            self._publish_rate_limit()
-
-    def _publish_rate_limit(self) -> None:
-        """Tell peers of the limit of the backend server if it has changed."""
-        limit = self._backend_server.rate_limit
-        published = self._members.own.rate_limit
-        is_known = limit.is_like(published) if limit else published is None
-        if not is_known:
-            self._members.update_own(rate_limit=limit)
+            self._published_server.publish_rate_limit()
 
     def _snapshot(self) -> Snapshot | None:
         return self._gate.snapshot if self._distributor.is_initialized else None
@@ -416,33 +411,11 @@
         return self._stop.refuses_work(service_s, now_s)
 
     def _on_backend_server(self) -> None:
-        announcement = self._backend_server.announcement
-        is_ready = self._backend_server.state is BackendState.READY
-        self._members.update_own(
-            service=announcement.service if announcement else None,
-            slots=announcement.slots if announcement else 0,
-            is_ready=is_ready and not self._stop.is_leaving,
-            departed=self._backend_server.last_departed,
-        )
+        self._published_server.publish(accepts_work=not self._stop.is_leaving)
         self._schedule_announcement()
 
     def _on_member_update(self, update: Member) -> None:
-        """Restore from peers what was known before a restart.
-
-        It is which backend server has left, and the limit of the present one.
-        """
-        if update.rate_limit and update.boot != self._boot:
-            self._backend_server.restore_rate_limit(
-                update.rate_limit, clock.now_s()
-            )
-        known_departure = self._backend_server.last_departed
-        if (
-            update.departed
-            and update.departed != known_departure
-            and not known_departure
-        ):
-            self._backend_server.depart(*update.departed)
-            self._members.update_own(departed=update.departed)
+        self._published_server.restore(update, clock.now_s())
 
     async def _announce_own_state(self) -> None:
         with anyio.move_on_after(_ANNOUNCE_TIMEOUT_S):
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -4,6 +4,7 @@
 from collections.abc import Awaitable, Callable
 
 import anyio
+from msgspec.structs import replace
 
 from ragwortstand.backend_servers import (
     Announcement,
@@ -14,7 +15,9 @@
     LatencyObjectiveAdmission,
 )
 from ragwortstand.ids import Fingerprint, ServiceName
-from tests.fakes import SIDECAR_SETTINGS, ListLog
+from ragwortstand.peers.members import Members
+from ragwortstand.published_server import PublishedServer
+from tests.fakes import SIDECAR_SETTINGS, ListLog, member
 from tests.forwarded import new_call
 
 
@@ -86,5 +89,48 @@
         self.assertIs(self.server.state, BackendState.DRAINING)
 
 
+class PublishedDepartureTests(unittest.IsolatedAsyncioTestCase):
+    """What peers keep for a daemon that restarts."""
+
+    def setUp(self) -> None:
+        """Create a daemon that has just been restarted."""
+        self.server = _server()
+        own = replace(member('h', service=None), boot=2)
+        self.members = Members(own, SIDECAR_SETTINGS.membership, 0)
+        self.published = PublishedServer(self.server, self.members)
+        self.server.on_change = self._publish
+
+    def _publish(self) -> None:
+        self.published.publish(accepts_work=True)
+
+    def _restore(self, departed: tuple[str, int], boot: int = 1) -> None:
+        entry = replace(member('h'), boot=boot, departed=departed)
+        self.published.restore(entry, 0)
+
+    async def _announce(self, **changes) -> BackendState:
+        await self.server.announce(_announcement(**changes), 0)
+        return self.server.state
+
+    # Peers were not told of a departure that changed no state, so that it was
+    # unknown again after the next restart of the daemon.
+    async def test_of_a_server_that_is_not_known(self) -> None:
+        self.server.depart('i-1', 5000)
+        self.assertEqual(self.members.own.departed, ('i-1', 5000))
+
+    async def test_restored_after_the_announcement(self) -> None:
+        self.assertIs(await self._announce(), BackendState.READY)
+        self._restore(('i-1', 1000))
+        self.assertIs(self.server.state, BackendState.DRAINING)
+        self.assertFalse(self.members.own.is_ready)
+
+    async def test_restored_departure_of_an_earlier_boot(self) -> None:
+        self._restore(('i-1', 900))
+        self.assertIs(await self._announce(), BackendState.READY)
+
+    async def test_entries_of_the_present_process_are_ignored(self) -> None:
+        self._restore(('i-1', 1000), boot=2)
+        self.assertIs(await self._announce(), BackendState.READY)
+
+
 async def _accept() -> bool:
     return True
