Apply each departure that peers return after a restart

A restarted daemon took over the departure that its peers returned only if it knew none. One that had heard of another server's departure in between ignored it, and would have used the first server again on a late heartbeat. Departures are now applied whatever else is known, and the one of the newest boot is published. Found by reading. Before: test_restored_after_another_departure failed.

--- a/src/ragwortstand/backend_servers/announcements.py
+++ b/src/ragwortstand/backend_servers/announcements.py
@@ -48,7 +48,7 @@
     Announcements of these boots that are received later are ignored, as they
     were sent before the departure.
 
-    :ivar last: the newest departure, None if there is none.
+    :ivar last: the departure of the newest boot, None if there is none.
     """
 
     def __init__(self) -> None:
@@ -64,7 +64,8 @@
         instance, boot = identity
         known_boot = self._departed_boots.get(instance, boot)
         self._departed_boots[instance] = max(boot, known_boot)
-        self.last = identity
+        if self.last is None or boot >= self.last[1]:
+            self.last = identity
 
     def has_departed(self, identity: Identity) -> bool:
         """Return whether a boot of a backend server has left."""
--- a/src/ragwortstand/published_server.py
+++ b/src/ragwortstand/published_server.py
@@ -57,5 +57,5 @@
         server = self._backend_server
         if entry.rate_limit:
             server.restore_rate_limit(entry.rate_limit, now_s)
-        if entry.departed and not server.last_departed:
+        if entry.departed and not server.has_departed(entry.departed):
             server.depart(*entry.departed)
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -117,6 +117,14 @@
         self.server.depart('i-1', 5000)
         self.assertEqual(self.members.own.departed, ('i-1', 5000))
 
+    # A departure that peers returned after a restart was ignored if the daemon
+    # had heard of another one in the meantime.
+    async def test_restored_after_another_departure(self) -> None:
+        self.server.depart('i-2', 5000)
+        self._restore(('i-1', 1000))
+        self.assertIs(await self._announce(), BackendState.ABSENT)
+        self.assertEqual(self.members.own.departed, ('i-2', 5000))
+
     async def test_restored_after_the_announcement(self) -> None:
         self.assertIs(await self._announce(), BackendState.READY)
         self._restore(('i-1', 1000))
