Tell peers of a server that is replaced by one of another service at once

When a server came up at the address of one that was still counted as ready, the state stayed 'ready', and peers were not told of the new service: they went on to send work for the old one, which its daemon refused, and none for the new one. Before: test_server_of_another_service_at_once failed.

--- a/src/ragwortstand/backend_servers/server.py
+++ b/src/ragwortstand/backend_servers/server.py
@@ -75,6 +75,8 @@
     :param connect: opens connections to the backend server; None takes those
         of httptools, whose responses share the memory limit of the settings.
     :param metrics: counts the requests sent; None counts them nowhere.
+    :ivar on_change: called when the state, the service, the number of slots
+        or the last departure has changed.
     """
 
     def __init__(
@@ -99,10 +101,7 @@
         self._cold_start_s: dict[str, float] = {}
         self.announcement: Announcement | None = None
         self.state = BackendState.ABSENT
-        self._published: tuple[BackendState, Identity | None] = (
-            self.state,
-            None,
-        )
+        self._reported: tuple[object, ...] = self._reported_fields()
         self.crash_detector = CrashDetector(log)
         self._request_sender = RequestSender(
             settings.backend_server,
@@ -408,13 +407,20 @@
                 sequence=announcement.sequence if announcement else 0,
                 problem=problem,
             )
-        # A departure is published also where it changes no state: peers return
-        # it when this daemon has been restarted.
-        current = (state, self.last_departed)
-        if current != self._published:
-            self._published = current
+        fields = self._reported_fields()
+        if fields != self._reported:
+            self._reported = fields
             self.on_change()
 
+    def _reported_fields(self) -> tuple[object, ...]:
+        """Return what peers are told of; a change of it is a change to them.
+
+        A departure counts also where it changes no state, as peers return it
+        when this daemon has been restarted.
+        """
+        slots = self.announcement.slots if self.announcement else 0
+        return (self.state, self.service, slots, self.last_departed)
+
 
 def _admission_for(settings: DaemonSettings) -> Admission:
     if settings.policies.admission == 'fifo':
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -131,6 +131,14 @@
         self.assertIs(self.server.state, BackendState.DRAINING)
         self.assertFalse(self.members.own.is_ready)
 
+    # Peers went on to send work for the service of the server before.
+    async def test_server_of_another_service_at_once(self) -> None:
+        await self._announce()
+        later = ServiceName('t')
+        await self._announce(instance='i-2', boot=2000, service=later, slots=2)
+        self.assertEqual(self.members.own.service, later)
+        self.assertEqual(self.members.own.slots, 2)
+
     async def test_restored_departure_of_an_earlier_boot(self) -> None:
         self._restore(('i-1', 900))
         self.assertIs(await self._announce(), BackendState.READY)
