Return a departure to a restarted daemon with probes, not only as it joins

A restarted daemon learned which server had left from the up to four daemons that it joined. Beside a restart of most daemons these may have lost their lists, too, and a process that had heard of nothing hid what its predecessor had published. Peers now add the entry to the first probe in either direction, once for each process, and a departure outlasts later processes that knew of none.

--- a/src/ragwortstand/peers/gossip.py
+++ b/src/ragwortstand/peers/gossip.py
@@ -195,11 +195,17 @@
             self._sync_with_unknown(ping.members_digest, member.peer_address)
         elif member:
             self._sync_if_due(ping.members_digest, member.peer_address)
+        updates = self._updates_for(sender)
+        previous_boots = self._members.previous_boots
+        previous_boot = previous_boots.unreturned(member) if member else None
+        if member and previous_boot:
+            updates = (*updates, previous_boot)
+            previous_boots.record_returned(member)
         return Pong(
             self._version_in_force(),
             self._key_owners.outage_age_s(now_s),
             self._members.digest,
-            self._updates_for(sender),
+            updates,
             self._key_owners.outage_began_age_s(now_s),
         )
 
@@ -308,6 +314,9 @@
     ) -> bool:
         if updates is None:
             updates = self._with_own_entry(self._updates_for(target.host))
+        previous_boot = self._members.previous_boots.unreturned(target)
+        if previous_boot:
+            updates = (*updates, previous_boot)
         now_s = anyio.current_time()
         ping = Ping(
             self._version_in_force(),
@@ -326,6 +335,8 @@
         if not isinstance(reply, Pong):
             return False
         now_s = anyio.current_time()
+        if previous_boot:
+            self._members.previous_boots.record_returned(target)
         self._members.merge(reply.news, now_s)
         self._members.confirm_alive(target.host, now_s)
         self._record_reported_outage(reply, now_s)
--- a/src/ragwortstand/peers/members.py
+++ b/src/ragwortstand/peers/members.py
@@ -10,6 +10,7 @@
 from ragwortstand.ids import HostId, RegionName, ServiceName, ZoneName
 from ragwortstand.peers.messages import Member, MemberState
 from ragwortstand.peers.offering_index import OfferingIndex
+from ragwortstand.peers.previous_boots import PreviousBoots
 from ragwortstand.rendezvous import ranked
 from ragwortstand.settings import MembershipSettings
 
@@ -54,8 +55,7 @@
     list, and the outcomes of calls decide which of them are used.
 
     `digest` is equal for lists with the same present members.
-    `previous_boots` has the last entries of earlier processes that the present
-    ones restore their state from.
+    `previous_boots` has what earlier processes of daemons have published.
     `last_contact_s` is the time of the last message from any other member.
 
     :param own: this daemon.
@@ -77,7 +77,7 @@
         self._offering = OfferingIndex()
         self._offering.put(own, is_usable=own.state in _USABLE_STATES)
         self._role_orders: dict[str, list[HostId]] = {}
-        self.previous_boots: dict[HostId, Member] = {}
+        self.previous_boots = PreviousBoots()
         self.last_contact_s = now_s
         self.digest = _entry_hash(own)
         self.on_change: Callable[[Member], None] = _ignore_member
@@ -287,8 +287,8 @@
         previous = entry.member if entry else None
         if previous:
             self.digest ^= _entry_hash(previous)
-            if previous.boot != member.boot and _has_server_state(previous):
-                self.previous_boots[member.host] = previous
+            if previous.boot != member.boot:
+                self.previous_boots.keep(previous)
         if entry is None:
             self._entries[member.host] = _Entry(member, now_s or 0.0)
         else:
@@ -303,16 +303,11 @@
         entry = self._entries.pop(host)
         self.digest ^= _entry_hash(entry.member)
         self._pending_updates.pop(host, None)
-        self.previous_boots.pop(host, None)
+        self.previous_boots.forget(host)
         self._offering.remove(host)
         self._role_orders.clear()
 
 
-def _has_server_state(member: Member) -> bool:
-    """Return whether an entry has what a restarted daemon must know."""
-    return bool(member.departed or member.rate_limit)
-
-
 def _role_key(member: Member) -> tuple[object, ...]:
     """Return what decides on which roles a member can hold."""
     return (member.zone, member.region, member.state in _USABLE_STATES)
--- a/tests/test_gossip_lists.py
+++ b/tests/test_gossip_lists.py
@@ -326,6 +326,37 @@
         await self._restart()
         self.assertIn(limit, [one.rate_limit for one in self.heard])
 
+    # A daemon restarted beside many others, and joined only such as had been
+    # restarted themselves: nobody told it which server had left.
+    async def test_from_a_peer_that_it_probes(self) -> None:
+        self.daemons.start(self.again, [member('peer')])
+        restarted = self.daemons.lists[self.again.host]
+        restarted.on_update_about_self = self.heard.append
+        for _ in range(3):
+            await self.daemons.gossip(self.again).send_own_entry()
+        departures = [one.departed for one in self.heard if one.departed]
+        self.assertEqual(departures, [self.last.departed])
+
+    async def test_from_a_peer_that_probes_it(self) -> None:
+        self.daemons.start(self.again, [member('peer')])
+        restarted = self.daemons.lists[self.again.host]
+        restarted.on_update_about_self = self.heard.append
+        peer = self.daemons.lists[member('peer').host]
+        peer.merge([self.again], 1)
+        for _ in range(3):
+            await self.daemons.gossip(member('peer')).send_own_entry()
+        departures = [one.departed for one in self.heard if one.departed]
+        self.assertEqual(departures, [self.last.departed])
+
+    # A process that was told nothing hid what its predecessor had published.
+    async def test_after_a_process_that_knew_only_a_limit(self) -> None:
+        peer = self.daemons.lists[member('peer').host]
+        limit = ServerRateLimit(('i-2', 2000), 5.0)
+        peer.merge([replace(self.again, rate_limit=limit)], 1)
+        self.again = replace(self.again, boot=3, incarnation=_NEW + 1)
+        await self._restart()
+        self.assertIn(self.last.departed, [one.departed for one in self.heard])
+
     async def test_from_a_peer_that_has_its_new_entry(self) -> None:
         peer = self.daemons.lists[member('peer').host]
         peer.merge([self.again], 1)
