Refuse odd entries of other writers where they are decoded

Reported by another operator: processes that read a list with one odd entry ended again and again, or stopped to follow it. It could happen here. A row of daemons that is nested too deeply raises RecursionError, which is no DecodeError and ended the task that joins daemons, at each restart of it; so did a value that is no base64. A port out of range raises OverflowError as it is dialled. A nested heartbeat was answered with 500, and counters and ports out of range were taken as valid; a version of 40 digits could not be sent to any peer.

decode_json has one error for all of these and replaces the decoder at each place that reads what other programs write: heartbeats, announcements, rows of the store and of the product's own platform, the operator's row, submitted configurations, settings, and messages of peers. Addresses of daemons, ports and counters have bounds in their types. Links take an address that can't be dialled for a peer that is not reached. An unreadable claim counts as one that may have run.

--- a/src/ragwortstand/backend_servers/announcements.py
+++ b/src/ragwortstand/backend_servers/announcements.py
@@ -1,11 +1,20 @@
 """ragwortstand.backend_servers.announcements: state of backend servers."""
 
-from typing import TypeAlias
+from typing import Annotated, TypeAlias
 
 import msgspec
 
+from ragwortstand.decoding import Count, DialledPort
 from ragwortstand.ids import ServiceName
 
+#: Bounds of plausible announcements, far beyond those of any backend server:
+#: slots or connections, and the longest cold start.
+MAX_PLACES = 1_000_000
+MAX_COLD_START_S = 86_400.0
+
+_PlaceCount = Annotated[int, msgspec.Meta(ge=0, le=MAX_PLACES)]
+_ColdStart = Annotated[float, msgspec.Meta(ge=0, le=MAX_COLD_START_S)]
+
 #: Instance of a backend server and its boot number.
 Identity: TypeAlias = tuple[str, int]
 
@@ -28,13 +37,13 @@
     instance: str
     service: ServiceName
     address: str
-    port: int
-    slots: int
-    connections: int
+    port: DialledPort
+    slots: _PlaceCount
+    connections: _PlaceCount
     is_draining: bool = False
-    boot: int = 0
-    sequence: int = 0
-    cold_s: float = 0.0
+    boot: Count = 0
+    sequence: Count = 0
+    cold_s: _ColdStart = 0.0
 
 
 def identity_of(announcement: Announcement) -> Identity:
--- a/src/ragwortstand/daemon.py
+++ b/src/ragwortstand/daemon.py
@@ -222,7 +222,7 @@
         self._discovery = EntryPointDiscovery(
             self._members,
             self._gossip,
-            EntryPoints(self._platform, settings.cluster),
+            EntryPoints(self._platform, settings.cluster, self._log),
             settings.entry_points,
             self._rng,
         )
--- a/src/ragwortstand/ids.py
+++ b/src/ragwortstand/ids.py
@@ -1,6 +1,8 @@
 """ragwortstand.ids: distinct types for names, versions and identifiers."""
 
-from typing import NewType
+from typing import Annotated, NewType
+
+import msgspec
 
 HostId = NewType('HostId', str)
 RegionName = NewType('RegionName', str)
@@ -21,5 +23,15 @@
 Fingerprint = NewType('Fingerprint', str)
 #: Address of a socket in the form ``tcp://host:port``.
 PeerAddress = NewType('PeerAddress', str)
+#: Peer address in a document, checked as it is decoded: a host name of at most
+#: 63 characters or an IPv4 address, and a port from 1 to 65535.
+DecodedPeerAddress = Annotated[
+    PeerAddress,
+    msgspec.Meta(
+        pattern=r'^tcp://[0-9A-Za-z_-]{1,63}(\.[0-9A-Za-z_-]{1,63}){0,9}:'
+        r'([1-9]\d{0,3}|[1-5]\d{4}|6[0-4]\d{3}|65[0-4]\d{2}|655[0-2]\d'
+        r'|6553[0-5])\Z'
+    ),
+]
 
 NO_VERSION = Version(0)
--- a/src/ragwortstand/models.py
+++ b/src/ragwortstand/models.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from ragwortstand.decoding import decode_with
 from ragwortstand.exceptions import ConfigurationError, Fault
 from ragwortstand.ids import Digest
 
@@ -210,8 +211,8 @@
             problem = f'larger than {MAX_CONFIGURATION_BYTES} bytes'
             raise ConfigurationError([Fault('$', problem)])
         try:
-            configuration = self._decode_reusing_routes(content)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            configuration = decode_with(self._decode_reusing_routes, content)
+        except msgspec.DecodeError as error:
             raise ConfigurationError([Fault('$', str(error))]) from error
         faults = configuration.faults()
         if faults:
--- a/src/ragwortstand/operators/admin.py
+++ b/src/ragwortstand/operators/admin.py
@@ -14,6 +14,7 @@
 
 from ragwortstand import api
 from ragwortstand.backend_servers import Announcement, BackendServer
+from ragwortstand.decoding import decode_json
 from ragwortstand.events import Event, EventLog
 from ragwortstand.exceptions import Fault, PlatformError
 from ragwortstand.ids import SubmissionId, Version
@@ -203,9 +204,7 @@
                 403, 'announcements are only accepted from the same host'
             )
         try:
-            announcement = msgspec.json.decode(
-                await request.body(), type=Announcement
-            )
+            announcement = decode_json(await request.body(), Announcement)
         except msgspec.DecodeError as error:
             return _error_response(400, f'malformed announcement: {error}')
         await self._backend_server.announce(announcement, anyio.current_time())
--- a/src/ragwortstand/peers/member_discovery.py
+++ b/src/ragwortstand/peers/member_discovery.py
@@ -18,7 +18,7 @@
 from ragwortstand.ids import HostId, PeerAddress
 from ragwortstand.peers.gossip import Gossip
 from ragwortstand.peers.members import Members
-from ragwortstand.storage import EntryPoint
+from ragwortstand.storage import EntryPoint, decode_entry_points
 from ragwortstand.storage.table import TableService, Transaction, Write
 
 _PREFIX = 'member/'
@@ -142,15 +142,7 @@
     async def _read_rows(self) -> tuple[EntryPoint, ...]:
         prefix = f'{_PREFIX}{self._cluster}/'
         rows = await self._table.scan(prefix, _MAX_ROWS)
-        found = []
-        for row in rows:
-            try:
-                found.append(msgspec.json.decode(row.content, type=EntryPoint))
-            except msgspec.DecodeError as error:
-                self._log.emit(
-                    Event.ROW_REFUSED, key=row.key, problem=str(error)
-                )
-        return tuple(found)
+        return decode_entry_points(rows, self._log)
 
     async def _join_unknown(self, rows: tuple[EntryPoint, ...]) -> None:
         unknown = [row for row in rows if self._is_unknown(row)]
--- a/src/ragwortstand/peers/messages.py
+++ b/src/ragwortstand/peers/messages.py
@@ -10,11 +10,12 @@
 import msgspec
 
 from ragwortstand.backend_servers.rate_limiter import ServerRateLimit
+from ragwortstand.decoding import decode_with
 from ragwortstand.ids import (
+    DecodedPeerAddress,
     Digest,
     Fingerprint,
     HostId,
-    PeerAddress,
     RegionName,
     RequestId,
     ServiceName,
@@ -65,7 +66,7 @@
     """
 
     host: HostId
-    peer_address: PeerAddress
+    peer_address: DecodedPeerAddress
     region: RegionName
     zone: ZoneName
     incarnation: int
@@ -355,7 +356,7 @@
 
     :raises msgspec.DecodeError: when the bytes are not an encoded envelope.
     """
-    return _envelope_decoder.decode(wire)
+    return decode_with(_envelope_decoder.decode, wire)
 
 
 def decode_reply(wire: bytes) -> Reply:
@@ -363,7 +364,7 @@
 
     :raises msgspec.DecodeError: when the bytes are not an encoded reply.
     """
-    return _reply_decoder.decode(wire)
+    return decode_with(_reply_decoder.decode, wire)
 
 
 def work_done(outcome: Outcome, busy: float) -> WorkDone:
--- a/src/ragwortstand/peers/streams.py
+++ b/src/ragwortstand/peers/streams.py
@@ -293,7 +293,8 @@
                 )
             try:
                 link = await self._dial(address, timeout_s)
-            except OSError as error:
+            except (OSError, ValueError, OverflowError) as error:
+                # The latter two for hosts and ports that do not exist.
                 until_s = clock.now_s() + _REDIAL_PAUSE_S
                 self._no_dial_until_s[address] = until_s
                 if isinstance(error, ConnectionRefusedError):
--- a/src/ragwortstand/platform/configuration.py
+++ b/src/ragwortstand/platform/configuration.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from ragwortstand.decoding import Count, decode_json
 from ragwortstand.exceptions import ConfigurationError, Fault
 from ragwortstand.ids import Version
 from ragwortstand.models import Configuration, Route
@@ -73,11 +74,11 @@
 
 
 class _VersionOnly(msgspec.Struct, frozen=True):
-    version: int
+    version: Count
 
 
 class _Row(msgspec.Struct, frozen=True):
-    version: int
+    version: Count
     routes: _Table
     services: _Table
     limits: _Limits = _Limits()
@@ -103,7 +104,7 @@
             invalid.
         """
         try:
-            row = msgspec.json.decode(content, type=_Row)
+            row = decode_json(content, _Row)
             mesh = self._build_configuration(row)
         except (msgspec.DecodeError, ValueError) as error:
             raise ConfigurationError([Fault('$', str(error))]) from error
@@ -171,7 +172,7 @@
     :returns: the version; None if it can't be decoded.
     """
     try:
-        return Version(msgspec.json.decode(content, type=_VersionOnly).version)
+        return Version(decode_json(content, _VersionOnly).version)
     except msgspec.DecodeError:
         return None
 
@@ -180,7 +181,7 @@
     columns: list[str], encoded_row: bytes, struct_type: type[_StructType]
 ) -> _StructType:
     """Decode a row of values; a null leaves the field at its default."""
-    cells = msgspec.json.decode(encoded_row, type=list[Any])
+    cells = decode_json(encoded_row, list[Any])
     fields = {
         name: cell
         for name, cell in zip(columns, cells, strict=True)
--- a/src/ragwortstand/platform/control.py
+++ b/src/ragwortstand/platform/control.py
@@ -2,11 +2,16 @@
 
 import time
 from collections.abc import Awaitable, Callable
-from typing import Protocol, TypeAlias
+from typing import Annotated, Protocol, TypeAlias
 
 import msgspec
 
 from ragwortstand.backend_servers import Announcement
+from ragwortstand.backend_servers.announcements import (
+    MAX_COLD_START_S,
+    MAX_PLACES,
+)
+from ragwortstand.decoding import Count, DialledPort, decode_json
 from ragwortstand.events import Event, EventLog
 from ragwortstand.http_server import CallerRequest
 from ragwortstand.ids import ServiceName
@@ -35,20 +40,22 @@
     service: str
     address: str
     # Requests that the backend server runs concurrently; it queues the rest.
-    capacity: int
+    capacity: Annotated[int, msgspec.Meta(ge=1, le=MAX_PLACES)]
     state: str
     # Increases with each call of one boot.
-    seq: int
+    seq: Count
     # Start of the backend server in Unix milliseconds, which identifies its
     # boot; increases with each boot.
-    born: int = 0
+    born: Count = 0
     # Time until the backend server is no longer slow from its cold start.
-    cold_left_ms: float = 0.0
+    cold_left_ms: Annotated[float, msgspec.Meta(le=MAX_COLD_START_S * 1000)] = (
+        0.0
+    )
 
 
 class _Deregistration(msgspec.Struct, frozen=True):
     # None in calls without a body, which do not say which boot deregisters.
-    born: int | None = None
+    born: Count | None = None
 
 
 class AnnouncementReceiver(Protocol):
@@ -138,22 +145,22 @@
         return Answered(200, _JSON_HEADERS, b'{}')
 
     async def _handle_heartbeat(self, instance: str, body: bytes) -> None:
-        heartbeat = msgspec.json.decode(body, type=_Heartbeat)
+        heartbeat = decode_json(body, _Heartbeat)
         if heartbeat.state not in {'ready', 'draining'}:
             raise ValueError(f'unknown state {heartbeat.state!r}')
         if heartbeat.address != self.address:
             raise ValueError(
                 f'{heartbeat.address} is not the configured address'
             )
-        address, _, port = heartbeat.address.rpartition(':')
-        if heartbeat.capacity < 1 or not heartbeat.service:
-            raise ValueError('no service or no capacity')
+        address, port = _parse_address(heartbeat.address)
+        if not heartbeat.service:
+            raise ValueError('no service')
         await self._receiver.announce(
             Announcement(
                 instance=instance,
                 service=ServiceName(heartbeat.service),
                 address=address,
-                port=int(port),
+                port=port,
                 slots=heartbeat.capacity,
                 connections=heartbeat.capacity,
                 is_draining=heartbeat.state == 'draining',
@@ -164,9 +171,7 @@
         )
 
     async def _handle_deregistration(self, instance: str, body: bytes) -> None:
-        deregistration = msgspec.json.decode(
-            body or b'{}', type=_Deregistration
-        )
+        deregistration = decode_json(body or b'{}', _Deregistration)
         born = deregistration.born
         # Boots are numbered by the time of their start. One that starts after
         # this call is a new backend server under the same id.
@@ -177,6 +182,18 @@
         )
 
 
+def _parse_address(text: str) -> tuple[str, int]:
+    """Return the host and the port of an address.
+
+    :param text: ``host:port``.
+    :raises ValueError: when it names no host, or no port to connect to.
+    """
+    host, _, port = text.rpartition(':')
+    if not host:
+        raise ValueError(f'{text!r} is not host:port')
+    return host, msgspec.convert(port, DialledPort, strict=False)
+
+
 def _parse_path(path: str) -> tuple[str, str]:
     """Return the instance and the action in a path; empty where invalid."""
     if not path.startswith(_INSTANCES_PREFIX):
--- a/src/ragwortstand/platform/settings.py
+++ b/src/ragwortstand/platform/settings.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from ragwortstand.decoding import decode_json
 from ragwortstand.exceptions import Fault, SettingsError
 from ragwortstand.ids import PeerAddress
 from ragwortstand.peers.shared_budget import RetryBudget
@@ -169,9 +170,7 @@
     :raises SettingsError: when it can't be read or lacks a field.
     """
     try:
-        return msgspec.json.decode(
-            pathlib.Path(path).read_bytes(), type=NodeSettings
-        )
+        return decode_json(pathlib.Path(path).read_bytes(), NodeSettings)
     except OSError as error:
         problem = f'cannot read {path}: {error.strerror}'
         raise SettingsError([Fault('$', problem)]) from error
--- a/src/ragwortstand/platform/store.py
+++ b/src/ragwortstand/platform/store.py
@@ -18,6 +18,7 @@
     WireRequest,
 )
 from ragwortstand.backend_servers.httptools_client import HttptoolsConnection
+from ragwortstand.decoding import decode_json
 from ragwortstand.events import Event, EventLog
 from ragwortstand.exceptions import (
     BackendServerError,
@@ -80,8 +81,22 @@
     deleted: bool = False
 
     def content(self) -> bytes:
+        """Return the decoded value.
+
+        :raises ValueError: when the value is not base64.
+        """
         return base64.b64decode(self.value)
 
+    def text(self) -> str:
+        """Return the decoded value as text; empty when it is not base64.
+
+        Readers refuse and log an empty value, as it is no JSON.
+        """
+        try:
+            return self.content().decode('utf-8', 'replace')
+        except ValueError:
+            return ''
+
 
 class _RowsResponse(msgspec.Struct, frozen=True, rename='camel'):
     rows: list[_StoreRow]
@@ -185,7 +200,7 @@
             return ReadResult(None, self._record_era(answered))
         self._check_status(answered, path)
         try:
-            document = msgspec.json.decode(answered.body, type=response_type)
+            document = decode_json(answered.body, response_type)
         except msgspec.DecodeError as error:
             problem = f'{path} returned unreadable data: {error}'
             raise self._handle_failure(problem, Verdict.MAY_HAVE_RUN) from error
@@ -334,8 +349,7 @@
             if response is None or not response.rows:
                 break
             rows.extend(
-                Row(row.key, row.ver, row.content().decode('utf-8', 'replace'))
-                for row in response.rows
+                Row(row.key, row.ver, row.text()) for row in response.rows
             )
             start = f'{rows[-1].key}\0'
             has_more = response.has_more
--- a/src/ragwortstand/settings.py
+++ b/src/ragwortstand/settings.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from ragwortstand.decoding import decode_json
 from ragwortstand.exceptions import Fault, SettingsError
 from ragwortstand.struct_validation import struct_faults
 
@@ -193,8 +194,8 @@
     :raises SettingsError: with every fault that was found.
     """
     try:
-        document = msgspec.json.decode(text)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        document = decode_json(text, object)
+    except msgspec.DecodeError as error:
         raise SettingsError([Fault('$', str(error))]) from error
     return _validate(document, DaemonSettings)
 
--- a/src/ragwortstand/storage/__init__.py
+++ b/src/ragwortstand/storage/__init__.py
@@ -5,7 +5,11 @@
 """
 
 from ragwortstand.storage.claims import ClaimTable
-from ragwortstand.storage.entry_points import EntryPoint, EntryPoints
+from ragwortstand.storage.entry_points import (
+    EntryPoint,
+    EntryPoints,
+    decode_entry_points,
+)
 from ragwortstand.storage.records import VersionRecord
 
 __all__ = (
@@ -13,4 +17,5 @@
     'EntryPoint',
     'EntryPoints',
     'VersionRecord',
+    'decode_entry_points',
 )
--- a/src/ragwortstand/storage/claims.py
+++ b/src/ragwortstand/storage/claims.py
@@ -12,6 +12,7 @@
 import anyio
 import msgspec
 
+from ragwortstand.decoding import decode_json
 from ragwortstand.exceptions import PlatformError
 from ragwortstand.ids import HostId
 from ragwortstand.storage.table import (
@@ -222,7 +223,16 @@
 
 
 def _decode_claim(row: Row) -> Claim:
-    return msgspec.json.decode(row.content, type=Claim)
+    """Return the claim in a row.
+
+    :raises PlatformError: when the row has other content: what it stands for
+        may have run.
+    """
+    try:
+        return decode_json(row.content, Claim)
+    except msgspec.DecodeError as error:
+        problem = f'row {row.key} is not a claim: {error}'
+        raise PlatformError(problem, Verdict.MAY_HAVE_RUN) from error
 
 
 def _insert_transaction(batch: list[_PendingClaim]) -> Transaction:
--- a/src/ragwortstand/storage/client.py
+++ b/src/ragwortstand/storage/client.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from ragwortstand.backend_servers.httpcore_client import read_body
+from ragwortstand.decoding import decode_json
 from ragwortstand.events import Event, EventLog
 from ragwortstand.exceptions import AnswerTooLargeError, PlatformError
 from ragwortstand.metrics import Metrics
@@ -204,7 +205,7 @@
 
 def _decode(response: _Response, document_type: type[_Document]) -> _Document:
     try:
-        return msgspec.json.decode(response.content, type=document_type)
+        return decode_json(response.content, document_type)
     except msgspec.DecodeError as error:
         raise PlatformError(str(error), Verdict.MAY_HAVE_RUN) from error
 
--- a/src/ragwortstand/storage/entry_points.py
+++ b/src/ragwortstand/storage/entry_points.py
@@ -1,8 +1,12 @@
 """ragwortstand.storage.entry_points: rows with daemons to join through."""
 
+from collections.abc import Iterable
+
 import msgspec
 
-from ragwortstand.ids import HostId, PeerAddress, ZoneName
+from ragwortstand.decoding import decode_json
+from ragwortstand.events import Event, EventLog
+from ragwortstand.ids import DecodedPeerAddress, HostId, ZoneName
 from ragwortstand.storage.table import Row, TableService, Transaction, Write
 
 _PREFIX = 'entry/'
@@ -20,7 +24,7 @@
 
     cluster: str
     host: HostId
-    peer_address: PeerAddress
+    peer_address: DecodedPeerAddress
     written_unix_s: float
 
 
@@ -29,18 +33,22 @@
 
     :param table: the platform's table service.
     :param cluster: name of the cluster.
+    :param log: logs rows that can't be decoded.
     """
 
-    def __init__(self, table: TableService, cluster: str) -> None:
+    def __init__(
+        self, table: TableService, cluster: str, log: EventLog
+    ) -> None:
         """Store the table and the cluster's name."""
         self._table = table
+        self._log = log
         self.cluster = cluster
 
     async def read(self) -> tuple[EntryPoint, ...]:
         """Return the entry points of this cluster, 64 at most."""
         prefix = f'{_PREFIX}{self.cluster}/'
         rows = await self._table.scan(prefix, _MAX_ROWS)
-        return tuple(_decode_entry_point(row) for row in rows)
+        return decode_entry_points(rows, self._log)
 
     async def write(
         self,
@@ -59,5 +67,18 @@
         await self._table.transact(Transaction((), (Write(key, text),)))
 
 
-def _decode_entry_point(row: Row) -> EntryPoint:
-    return msgspec.json.decode(row.content, type=EntryPoint)
+def decode_entry_points(
+    rows: Iterable[Row], log: EventLog
+) -> tuple[EntryPoint, ...]:
+    """Return the entry points in rows; rows of other content are left out.
+
+    :param rows: rows of the table, which other programs may have written.
+    :param log: logs the rows that can't be decoded.
+    """
+    found = []
+    for row in rows:
+        try:
+            found.append(decode_json(row.content, EntryPoint))
+        except msgspec.DecodeError as error:
+            log.emit(Event.ROW_REFUSED, key=row.key, problem=str(error))
+    return tuple(found)
--- a/src/ragwortstand/storage/version_store.py
+++ b/src/ragwortstand/storage/version_store.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from ragwortstand import api
+from ragwortstand.decoding import decode_json
 from ragwortstand.exceptions import (
     ConfigurationError,
     Fault,
@@ -208,7 +209,15 @@
 
 
 def _decode_record(row: Row) -> VersionRecord:
-    return msgspec.json.decode(row.content, type=VersionRecord)
+    """Return the record in a row.
+
+    :raises PlatformError: when the row has other content.
+    """
+    try:
+        return decode_json(row.content, VersionRecord)
+    except msgspec.DecodeError as error:
+        problem = f'row {row.key} is not a version: {error}'
+        raise PlatformError(problem, Verdict.NOT_RUN) from error
 
 
 def _commit_transaction(record: VersionRecord, head: Row | None) -> Transaction:
--- a/tests/test_platform_control.py
+++ b/tests/test_platform_control.py
@@ -108,11 +108,32 @@
             {'born': 'today'},
             {'address': '10.9.9.9:1'},
             {'address': 'here'},
+            {'capacity': 10**30},
+            {'seq': 10**30},
+            {'seq': -1},
+            {'born': 10**40},
+            {'born': -1},
+            {'coldLeftMs': 1e308},
         ):
             self.assertEqual(await self._heartbeat('i-2', **changes), 400)
         self.assertEqual(len(self.receiver.announcements), 1)
         self.assertIs(self._state, BackendState.READY)
-        self.assertEqual(self.log.events.count(Event.ANNOUNCEMENT_REFUSED), 9)
+        self.assertEqual(self.log.events.count(Event.ANNOUNCEMENT_REFUSED), 15)
+
+    # Nested input was answered with 500 instead of being refused.
+    async def test_nested_calls_are_refused(self) -> None:
+        nested = b'[' * 50_000 + b']' * 50_000
+        whole = json.dumps(_HEARTBEAT).encode()
+        for body in (nested, whole[:-1] + b',"more":' + nested + b'}'):
+            path = '/api/instances/i-1/heartbeat'
+            self.assertEqual(await self._post(path, body), 400)
+            self.assertEqual(await self._deregister(body=body), 400)
+        self.assertIs(self._state, BackendState.ABSENT)
+
+    async def test_port_out_of_range_in_the_settings(self) -> None:
+        for address in ('10.1.0.41:99999', '10.1.0.41:0', ':8628', 'here'):
+            self.api.address = address
+            self.assertEqual(await self._heartbeat(address=address), 400)
 
     async def test_unknown_calls(self) -> None:
         for path in ('/api/instances/', '/api/instances/i-1/dance', '/x'):
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -46,6 +46,22 @@
         fixture.client.close()
 
 
+@asynccontextmanager
+async def _fixed_rows(*rows: tuple[str, str]) -> AsyncIterator[_Fixture]:
+    """Run a store with rows of any value, which need not be base64."""
+    found = [{'key': key, 'value': value, 'ver': 3} for key, value in rows]
+    text = msgspec.json.encode({'rows': found, 'ver': 3, 'hasMore': False})
+
+    async def answer(request: CallerRequest) -> Answered:
+        return Answered(200, (), text)
+
+    server = HttpServer(answer, CallerLimits, ListLog())
+    async with running_http(server) as port:
+        fixture = _Fixture(port, StoreStandin())
+        yield fixture
+        fixture.client.close()
+
+
 class TableTests(unittest.IsolatedAsyncioTestCase):
     """Transactions and scans of rows."""
 
@@ -59,6 +75,12 @@
             self.assertEqual(row and row.content, 'z')
             self.assertIsNone(await fixture.table.get('c'))
 
+    # One such row ended the task that reads the rows of daemons.
+    async def test_value_that_is_no_base64_is_empty(self) -> None:
+        async with _fixed_rows(('a', '%'), ('b', 'eA==')) as fixture:
+            rows = await fixture.table.scan('')
+            self.assertEqual([row.content for row in rows], ['', 'x'])
+
     async def test_condition_that_fails_writes_nothing(self) -> None:
         async with _fixture() as fixture:
             first = Transaction((Condition('a', 0),), (Write('a', '1'),))
@@ -230,19 +252,9 @@
             )
 
     async def test_value_that_is_no_base64_is_refused(self) -> None:
-        async with _fixture():
-            raw = {'rows': [{'key': 'config', 'value': '%', 'ver': 3}]}
-            text = msgspec.json.encode({**raw, 'ver': 3, 'hasMore': False})
-
-            async def answer(request: CallerRequest) -> Answered:
-                return Answered(200, (), text)
-
-            server = HttpServer(answer, CallerLimits, ListLog())
-            async with running_http(server) as port:
-                other = _Fixture(port, StoreStandin())
-                self.assertIsNone(await other.versions.head())
-                self.assertIn(Event.VERSION_REFUSED, other.log.events)
-                other.client.close()
+        async with _fixed_rows(('config', '%')) as fixture:
+            self.assertIsNone(await fixture.versions.head())
+            self.assertIn(Event.VERSION_REFUSED, fixture.log.events)
 
     async def test_a_reader_that_fails_leaves_reading_to_others(self) -> None:
         async with _fixture() as fixture:
