--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -77,7 +77,7 @@
 
     # One such row ended the task that reads the rows of daemons.
     async def test_value_that_is_no_base64_is_empty(self) -> None:
-        async with _fixed_rows(('a', '%'), ('b', 'eA==')) as fixture:
+        async with _fixed_rows(('a', 'abc'), ('b', 'eA==')) as fixture:
             rows = await fixture.table.scan('')
             self.assertEqual([row.content for row in rows], ['', 'x'])
 
