Do not take a refusal of an earlier request for that of a later one

Reported by another operator: a server repeated an earlier refusal on a kept connection, and callers were told that a request had not run that the server was running. Responses are matched by their id here, so the refusal of another request was skipped already. It could happen in three cases: a request that came again under its id over the same connection took the refusal of its first attempt; a request without an id took any response; and a response with the ids of two requests counted for both.

A connection is no longer used for an id that it has carried lately (256 of them), a response to a request without an id must have none, and one with several ids fails the request as one that may have run.

The test that a request without an id expects no echo demanded the fault; in its place stands that such a request expects a response without an id.

--- a/src/ragwortstand/backend_servers/connections.py
+++ b/src/ragwortstand/backend_servers/connections.py
@@ -42,7 +42,8 @@
     :param body: the whole body.
     :param host: value of the host header; None means the server's address.
     :param echo: header that the response to this request must repeat; a
-        response with another value belongs to another request.
+        response with another value belongs to another request. With an empty
+        value, responses that have the header belong to other requests.
     """
 
     method: str
@@ -60,6 +61,12 @@
     def is_reusable(self) -> bool:
         """Return whether another exchange may follow."""
 
+    def has_carried(self, echo: Header) -> bool:
+        """Return whether a recent request had this header to be repeated.
+
+        The response to it may come once more.
+        """
+
     async def exchange(self, request: WireRequest) -> Answered:
         """Send a request and return the whole response."""
 
@@ -105,20 +112,24 @@
         self._idle: deque[_IdleConnection] = deque()
         self.in_use = 0
 
-    async def acquire(self, max_idle_s: float, now_s: float) -> HttpConnection:
+    async def acquire(
+        self,
+        max_idle_s: float,
+        now_s: float,
+        echo: Header | None = None,
+    ) -> HttpConnection:
         """Return a connection for one exchange.
 
         :param max_idle_s: idle time up to which a connection is reused.
         :param now_s: present time.
+        :param echo: header that the response must repeat; connections that
+            have carried a request with it are not reused.
         :raises BackendServerError: when no connection can be opened.
         """
-        while self._idle:
-            idle = self._idle.pop()
-            is_fresh = now_s - idle.since_s <= max_idle_s
-            if is_fresh and idle.connection.is_reusable:
-                self.in_use += 1
-                return idle.connection
-            idle.connection.close()
+        idle_connection = self._take_idle(max_idle_s, now_s, echo)
+        if idle_connection:
+            self.in_use += 1
+            return idle_connection
         if self.in_use >= self._limit:
             problem = f'all {self._limit} connections are in use'
             raise BackendServerError(problem, Verdict.NOT_RUN)
@@ -141,6 +152,23 @@
         else:
             connection.close()
 
+    def _take_idle(
+        self, max_idle_s: float, now_s: float, echo: Header | None
+    ) -> HttpConnection | None:
+        unsuitable: list[_IdleConnection] = []
+        found = None
+        while self._idle and found is None:
+            idle = self._idle.pop()
+            is_fresh = now_s - idle.since_s <= max_idle_s
+            if not is_fresh or not idle.connection.is_reusable:
+                idle.connection.close()
+            elif echo and idle.connection.has_carried(echo):
+                unsuitable.append(idle)
+            else:
+                found = idle.connection
+        self._idle.extend(reversed(unsuitable))
+        return found
+
     def close(self) -> None:
         """Close all idle connections."""
         while self._idle:
--- a/src/ragwortstand/backend_servers/dialect.py
+++ b/src/ragwortstand/backend_servers/dialect.py
@@ -8,7 +8,7 @@
     SignalHeaders,
 )
 from ragwortstand.calls import Call
-from ragwortstand.verdicts import Answered, Outcome
+from ragwortstand.verdicts import Answered, Header, Outcome
 
 
 class BackendDialect(Protocol):
@@ -22,6 +22,12 @@
         :param now_s: present time.
         """
 
+    def echo(self, call: Call) -> Header | None:
+        """Return the header that the response must repeat, None for none.
+
+        :param call: the request.
+        """
+
     def outcome(self, call: Call, answered: Answered) -> Outcome:
         """Return the outcome that a response reports for the request.
 
@@ -53,6 +59,10 @@
         """
         return wire_request(call, now_s)
 
+    def echo(self, call: Call) -> Header | None:
+        """Return None: servers need not repeat anything."""
+        return None
+
     def outcome(self, call: Call, answered: Answered) -> Outcome:
         """Return the response itself."""
         return answered
--- a/src/ragwortstand/backend_servers/httpcore_client.py
+++ b/src/ragwortstand/backend_servers/httpcore_client.py
@@ -14,7 +14,7 @@
     AnswerTooLargeError,
     BackendServerError,
 )
-from ragwortstand.verdicts import Answered, Verdict
+from ragwortstand.verdicts import Answered, Header, Verdict
 
 
 class HttpcoreConnection:
@@ -67,6 +67,10 @@
             return False
         return not self._connection.has_expired()
 
+    def has_carried(self, echo: Header) -> bool:
+        """Return False, as this client does not match responses."""
+        return False
+
     async def exchange(self, request: WireRequest) -> Answered:
         """Send a request and return the whole response.
 
--- a/src/ragwortstand/backend_servers/httptools_client.py
+++ b/src/ragwortstand/backend_servers/httptools_client.py
@@ -19,9 +19,11 @@
 from ragwortstand.backend_servers.response_memory import ResponseMemoryBudget
 from ragwortstand.exceptions import AnswerTooLargeError, BackendServerError
 from ragwortstand.sockets import KeepaliveSettings, enable_keepalive
-from ragwortstand.verdicts import Answered, Verdict
+from ragwortstand.verdicts import Answered, Header, Verdict
 
 CONNECT_TIMEOUT_S = 1.0
+# Requests that a connection remembers; a server repeats recent responses.
+_MAX_CARRIED = 256
 _MALFORMED = (httptools.HttpParserError, httptools.HttpParserUpgrade)
 # Headers that define where the body of a response ends.
 _FRAMING_HEADERS = frozenset((b'content-length', b'transfer-encoding'))
@@ -57,6 +59,8 @@
         )
         self._transport: asyncio.Transport | None = None
         self._response: asyncio.Future[Answered] | None = None
+        # Recent values to be repeated, the oldest first.
+        self._carried: dict[bytes, None] = {}
         self._reset(None)
 
     @classmethod
@@ -89,6 +93,10 @@
         transport = self._transport
         return transport is not None and not transport.is_closing()
 
+    def has_carried(self, echo: Header) -> bool:
+        """Return whether a recent request had this header to be repeated."""
+        return echo[1] in self._carried
+
     async def exchange(self, request: WireRequest) -> Answered:
         """Send a request and return the whole response.
 
@@ -189,14 +197,14 @@
             return
         buffer = self._buffer
         self._abort_if_over_limit(buffer.limit_error())
-        echo = buffer.echo
-        if echo and echo not in buffer.headers:
+        echoes = buffer.echoes
+        if echoes == buffer.expected_echoes:
+            self._deliver_response()
+        elif len(echoes) == 1:
             buffer.has_unmatched_response = True
-            if echo[0] not in dict(buffer.headers):
-                self._fail('response does not identify its request')
-                self.close()
-            return
-        self._deliver_response()
+        else:
+            self._fail(f'response identifies {len(echoes)} requests')
+            self.close()
 
     def _reset(self, request: WireRequest | None) -> None:
         self._parser = httptools.HttpResponseParser(self)
@@ -204,6 +212,14 @@
         if request:
             self._buffer.is_head = request.method == 'HEAD'
             self._buffer.echo = request.echo
+            self._record_carried(request.echo)
+
+    def _record_carried(self, echo: Header | None) -> None:
+        if echo is None or not echo[1]:
+            return
+        self._carried[echo[1]] = None
+        if len(self._carried) > _MAX_CARRIED:
+            self._carried.pop(next(iter(self._carried)))
 
     def _clear_exchange(self) -> None:
         """Release the state of an exchange that has ended."""
--- a/src/ragwortstand/backend_servers/request_sender.py
+++ b/src/ragwortstand/backend_servers/request_sender.py
@@ -121,7 +121,9 @@
             else self._settings.strict_idle_reuse_s
         )
         try:
-            connection = await pool.acquire(max_idle_s, clock.now_s())
+            connection = await pool.acquire(
+                max_idle_s, clock.now_s(), self._dialect.echo(call)
+            )
         except BackendServerError as error:
             self._on_down(str(error))
             return Refused(Cause.BACKEND_SERVER_DOWN)
--- a/src/ragwortstand/backend_servers/response_buffer.py
+++ b/src/ragwortstand/backend_servers/response_buffer.py
@@ -27,7 +27,7 @@
 
     :param max_body_bytes: limit of all bodies together.
     :param is_head: whether the request is HEAD, whose response has no body.
-    :param echo: header that the response must repeat.
+    :param echo: header that the response must repeat; as in `WireRequest`.
     :param headers: headers of the response that is being received.
     :param body: the part of its body received so far.
     :param is_close_delimited: whether its body ends with the connection.
@@ -47,6 +47,23 @@
     overhead_bytes: int = 0
     _body_bytes: int = 0
 
+    @property
+    def echoes(self) -> frozenset[bytes]:
+        """Return the requests that the response identifies, by its headers."""
+        if self.echo is None:
+            return frozenset()
+        expected_name = self.echo[0]
+        return frozenset(
+            text for name, text in self.headers if name == expected_name
+        )
+
+    @property
+    def expected_echoes(self) -> frozenset[bytes]:
+        """Return what the response to the request identifies."""
+        if self.echo is None or not self.echo[1]:
+            return frozenset()
+        return frozenset((self.echo[1],))
+
     def begin_response(self) -> None:
         """Start a response."""
         if self.headers:
--- a/src/ragwortstand/platform/headers.py
+++ b/src/ragwortstand/platform/headers.py
@@ -122,16 +122,22 @@
             (EXPECT_INSTANCE, instance.encode()),
         )
         headers = dict(call.headers)
-        echo = headers.get(REQUEST_ID)
         return WireRequest(
             call.method,
             call.target,
             call.headers + added,
             call.body,
             host=headers.get(_HOST),
-            echo=(REQUEST_ID, echo) if echo else None,
+            echo=self.echo(call),
         )
 
+    def echo(self, call: Call) -> Header:
+        """Return the id of a call, which its response repeats.
+
+        The response to a call without an id has none.
+        """
+        return (REQUEST_ID, dict(call.headers).get(REQUEST_ID, b''))
+
     def outcome(self, call: Call, answered: Answered) -> Outcome:
         """Return the outcome of a call from its response."""
         names = {name for name, _ in answered.headers}
--- a/tests/test_platform_headers.py
+++ b/tests/test_platform_headers.py
@@ -143,9 +143,11 @@
         request = self.dialect.request(_call(), 'i-1', 99.0)
         self.assertEqual(dict(request.headers)[DEADLINE_MS], b'1')
 
-    def test_request_without_an_id_expects_no_echo(self) -> None:
+    def test_request_without_an_id_expects_a_response_without_one(
+        self,
+    ) -> None:
         request = self.dialect.request(_call(headers=()), 'i-1', 10.0)
-        self.assertIsNone(request.echo)
+        self.assertEqual(request.echo, (REQUEST_ID, b''))
 
     def test_outcomes_of_responses(self) -> None:
         stamped = ((STAMP, b's'),)
