Test responses whose server closes in the middle of the head

Reported by another operator: callers got a 200 with an empty or short body. It does not happen here: a response ends with its connection only once its head is complete and names no other end.

--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -4,6 +4,8 @@
 import unittest
 from dataclasses import replace
 
+from anyio.abc import SocketStream
+
 from ragwortstand.backend_servers.connections import (
     ConnectionPool,
     Endpoint,
@@ -55,6 +57,37 @@
                     self.assertIs(verdict, Verdict.MAY_HAVE_RUN)
                     connection.close()
 
+    async def test_head_that_ends_early_is_no_response(self) -> None:
+        """Guards against a success with a body that is empty or cut short."""
+        heads = (
+            OK.partition(b'body')[0],
+            b'HTTP/1.1 200 OK\r\nx-a: b\r\n\r\n',
+            b'HTTP/1.1 200 OK\nx-a: b\n\n',
+            b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n',
+            _EARLY_HINTS + OK.partition(b'body')[0],
+        )
+        heads_cut = [
+            head[:size] for head in heads for size in range(1, len(head))
+        ]
+
+        async def end_early(stream: SocketStream) -> None:
+            async with stream:
+                await stream.receive()
+                await stream.send(OK)
+                request = await stream.receive()
+                number = int(request.partition(b' HTTP')[0].split(b'/')[-1])
+                await stream.send(heads_cut[number])
+
+        async with running_server(end_early) as endpoint:
+            for client in _CLIENTS:
+                for number, head in enumerate(heads_cut):
+                    connection = await client.connect(endpoint, _LIMIT_BYTES)
+                    await connection.exchange(_request())
+                    request = replace(_request(), target=f'/{number}')
+                    with self.assertRaises(BackendServerError, msg=str(head)):
+                        await connection.exchange(request)
+                    connection.close()
+
     async def _failure(self, connection: HttpConnection) -> Verdict:
         """Return the verdict of an exchange that fails."""
         with self.assertRaises(BackendServerError) as caught:
