--- a/src/ragwortstand/backend_servers/connections.py
+++ b/src/ragwortstand/backend_servers/connections.py
@@ -152,6 +152,11 @@
         else:
             connection.close()
 
+    def close(self) -> None:
+        """Close all idle connections."""
+        while self._idle:
+            self._idle.pop().connection.close()
+
     def _take_idle(
         self, max_idle_s: float, now_s: float, echo: Header | None
     ) -> HttpConnection | None:
@@ -168,8 +173,3 @@
                 found = idle.connection
         self._idle.extend(reversed(unsuitable))
         return found
-
-    def close(self) -> None:
-        """Close all idle connections."""
-        while self._idle:
-            self._idle.pop().connection.close()
--- a/src/ragwortstand/backend_servers/dialect.py
+++ b/src/ragwortstand/backend_servers/dialect.py
@@ -44,6 +44,7 @@
         """
 
 
+_NO_ECHO: Header | None = None
 _SIGNAL_HEADERS = SignalHeaders(b'ragwort-rate-limit', b'ragwort-leaving')
 
 
@@ -61,7 +62,7 @@
 
     def echo(self, call: Call) -> Header | None:
         """Return None: servers need not repeat anything."""
-        return None
+        return _NO_ECHO
 
     def outcome(self, call: Call, answered: Answered) -> Outcome:
         """Return the response itself."""
