Accept and read what waits before a stopping daemon closes

Two causes, one class: what the kernel has accepted and the event loop has not read yet counted as nothing.

- Connections that waited to be accepted were reset as the socket was closed.
They are accepted now; the socket stays open until none is left.
- uvloop runs due timers before it reads sockets.
After a delay while it reads, the stop's check saw callers as gone and their connections as idle, and closed them with unread requests.
The check now comes after the sockets were read.

Reproduced without load: a loop held up for 0.3 s, and callers that connect and send meanwhile.

--- a/src/ragwortstand/graceful_stop.py
+++ b/src/ragwortstand/graceful_stop.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 
 import anyio
+from anyio import lowlevel
 
 from ragwortstand import clock
 from ragwortstand.callers.proxy import Proxy
@@ -20,6 +21,9 @@
 from ragwortstand.peers.messages import MemberState
 
 _POLL_S = 0.05
+# Turns of the event loop in which it accepts the connections that wait, reads
+# their first bytes, and begins to handle the requests.
+_READING_TURNS = 3
 # Callers are routed to other hosts after two failed readiness checks, which run
 # once a second; their last requests are in flight a little longer.
 _CALLERS_REROUTED_S = 2.6
@@ -94,7 +98,7 @@
             are_callers_gone = self._are_callers_gone(now_s - started_s, now_s)
             if are_callers_gone and not self._is_busy(callers):
                 break
-            await anyio.sleep(_POLL_S)
+            await _sleep_and_read()
             now_s = clock.now_s()
         await self._close(callers, end_s)
 
@@ -123,12 +127,12 @@
         self._proxy.is_refusing = True
         self._members.update_own(is_ready=False, state=MemberState.LEFT)
         self._announce()
-        callers.stop_listening()
+        await callers.stop_listening()
         now_s = clock.now_s()
         idle_at_s = now_s + _FINAL_REQUESTS_S
         while now_s < min(idle_at_s, end_s):
             callers.close_idle()
-            await anyio.sleep(_POLL_S)
+            await _sleep_and_read()
             now_s = clock.now_s()
             if self._is_busy(callers):
                 idle_at_s = now_s + _FINAL_REQUESTS_S
@@ -146,3 +150,14 @@
         if elapsed_s < _CALLERS_REROUTED_S:
             return False
         return now_s - self._proxy.last_request_at_s > _CALLERS_IDLE_S
+
+
+async def _sleep_and_read() -> None:
+    """Wait until the next check, and read what has come until then.
+
+    A loop that was held up runs the timers that are due before it reads from
+    sockets, so that connections with unread requests would look idle.
+    """
+    await anyio.sleep(_POLL_S)
+    for _ in range(_READING_TURNS):
+        await lowlevel.checkpoint()
--- a/src/ragwortstand/http_server.py
+++ b/src/ragwortstand/http_server.py
@@ -126,6 +126,7 @@
         self.log = log
         self.is_closing = False
         self._asyncio_server: asyncio.Server | None = None
+        self._listener: socket.socket | None = None
         self.connections: set[CallerConnection] = set()
 
     @property
@@ -153,9 +154,10 @@
         """
         loop = asyncio.get_running_loop()
         server = await loop.create_server(
-            lambda: CallerConnection(self), sock=listener, backlog=BACKLOG
+            self._connection, sock=listener, backlog=BACKLOG
         )
         self._asyncio_server = server
+        self._listener = listener
         try:
             while True:
                 await anyio.sleep(_TIMEOUT_CHECK_INTERVAL_S)
@@ -165,10 +167,21 @@
             for connection in tuple(self.connections):
                 connection.close_and_cancel(CancelReason.STOP)
 
-    def stop_listening(self) -> None:
-        """Stop accepting connections; open connections stay open."""
-        if self._asyncio_server:
+    async def stop_listening(self) -> None:
+        """Stop accepting connections; open connections stay open.
+
+        Callers' connections that wait to be accepted would be reset with the
+        socket, so they are accepted first.
+        """
+        if self._asyncio_server is None or self._listener is None:
+            return
+        with self._listener.dup() as listener:
+            self._listener = None
             self._asyncio_server.close()
+            waiting = self._accept_waiting(listener)
+        loop = asyncio.get_running_loop()
+        for connection in waiting:
+            await loop.connect_accepted_socket(self._connection, connection)
 
     def close_idle(self) -> None:
         """Close idle connections now and the others after their responses."""
@@ -177,6 +190,27 @@
         for connection in tuple(self.connections):
             connection.close_if_idle(now_s)
 
+    def _connection(self) -> 'CallerConnection':
+        return CallerConnection(self)
+
+    def _accept_waiting(self, listener: socket.socket) -> list[socket.socket]:
+        """Return the connections that wait to be accepted, as they are now."""
+        listener.setblocking(False)
+        waiting: list[socket.socket] = []
+        while len(waiting) < BACKLOG:
+            try:
+                connection, _ = listener.accept()
+            except BlockingIOError:
+                break
+            except OSError as error:
+                self.log.emit(
+                    Event.CONNECTION_ENDED, problem=repr(error), requests=0
+                )
+                break
+            connection.setblocking(False)
+            waiting.append(connection)
+        return waiting
+
     def _close_timed_out(self, now_s: float) -> None:
         limits = self.limits()
         for connection in tuple(self.connections):
--- a/tests/test_graceful_stop.py
+++ b/tests/test_graceful_stop.py
@@ -1,6 +1,10 @@
 """Tests of the graceful stop of a sidecar, in one process."""
 
+import asyncio
+import socket
+import time
 import unittest
+from collections.abc import Awaitable, Callable
 from types import SimpleNamespace
 
 import anyio
@@ -103,6 +107,130 @@
         self.assertGreater(daemon.announcements, 0)
 
 
+class LateLoopTests(unittest.TestCase):
+    """A stop whose event loop (uvloop, as in daemons) is held up.
+
+    Callers connect and send meanwhile, and the kernel accepts both.
+    """
+
+    def _run(self, scenario: Callable[[], Awaitable[None]]) -> None:
+        self.sockets: list[socket.socket] = []
+        try:
+            anyio.run(scenario, backend_options={'use_uvloop': True})
+        finally:
+            for one in self.sockets:
+                one.close()
+
+    def _send_request(self, port: int) -> None:
+        """Send a request over a new connection, without the event loop."""
+        try:
+            caller = socket.create_connection(('127.0.0.1', port), 1)
+        except ConnectionRefusedError:
+            return
+        caller.sendall(_REQUEST)
+        self.sockets.append(caller)
+
+    def _lost(self) -> int:
+        return sum(not _first_byte(one) for one in self.sockets)
+
+    # Guards against requests that were accepted and got no answer: connections
+    # that waited to be accepted were reset when the daemon stopped listening.
+    def test_connections_that_wait_are_served(self) -> None:
+        daemon = _StoppingDaemon()
+
+        async def scenario() -> None:
+            async with running_http(daemon.server) as port:
+                await anyio.sleep(0.05)
+                for _ in range(5):
+                    self._send_request(port)
+                await daemon.server.stop_listening()
+                await anyio.sleep(0.2)
+                self.assertEqual(len(self.sockets), 5)
+                self.assertEqual(self._lost(), 0)
+                self._send_request(port)
+                self.assertEqual(len(self.sockets), 5)
+
+        self._run(scenario)
+
+    # The same for a request that came during a delay: due timers run before the
+    # sockets are read, and the connection was closed as idle.
+    def test_request_that_waits_on_a_new_connection_is_answered(self) -> None:
+        daemon = _StoppingDaemon()
+
+        async def send_during_a_delay(port: int) -> None:
+            await anyio.sleep(graceful_stop._CALLERS_REROUTED_S - 0.1)
+            caller = socket.create_connection(('127.0.0.1', port), 1)
+            self.sockets.append(caller)
+            await anyio.sleep(0.25)
+            await _delay_reading(0.3, lambda: caller.sendall(_REQUEST))
+
+        async def scenario() -> None:
+            async with (
+                anyio.create_task_group() as tasks,
+                running_http(daemon.server) as port,
+            ):
+                tasks.start_soon(send_during_a_delay, port)
+                await daemon.stop.run(daemon.server, _GRACE_S)
+            self.assertEqual(self._lost(), 0)
+
+        self._run(scenario)
+
+    def test_requests_of_any_moment_are_answered(self) -> None:
+        daemon = _StoppingDaemon()
+
+        async def delay_loop(port: int) -> None:
+            while daemon.members.own.state is not MemberState.LEFT:
+                self._send_request(port)
+                time.sleep(0.35)  # noqa: ASYNC251
+                self._send_request(port)
+                await anyio.sleep(0.01)
+            for _ in range(3):
+                self._send_request(port)
+                time.sleep(0.35)  # noqa: ASYNC251
+                await anyio.sleep(0.01)
+
+        async def scenario() -> None:
+            async with (
+                anyio.create_task_group() as tasks,
+                running_http(daemon.server) as port,
+            ):
+                tasks.start_soon(delay_loop, port)
+                await daemon.stop.run(daemon.server, _GRACE_S)
+            self.assertGreater(len(self.sockets), 10)
+            self.assertEqual(self._lost(), 0)
+
+        self._run(scenario)
+
+
+async def _delay_reading(delay_s: float, action: Callable[[], None]) -> None:
+    """Hold the loop up while it reads from a socket, after an action.
+
+    What is sent meanwhile waits until the due timers have run.
+    """
+    writer, reader = socket.socketpair()
+    done = anyio.Event()
+
+    def hold_up() -> None:
+        reader.recv(1)
+        action()
+        time.sleep(delay_s)
+        done.set()
+
+    loop = asyncio.get_running_loop()
+    with writer, reader:
+        loop.add_reader(reader, hold_up)
+        writer.send(b'x')
+        await done.wait()
+        loop.remove_reader(reader)
+
+
+def _first_byte(caller: socket.socket) -> bytes:
+    try:
+        return caller.recv(1)
+    except OSError:
+        return b''
+
+
 class LongWorkTests(unittest.IsolatedAsyncioTestCase):
     """Long requests that are in flight when a stop begins."""
 
