Refuse heartbeats with a start or a count that cannot be

Heartbeats are ordered by the start of the server and the count of its calls. A single odd one of another writer, with a number that is too large but fits, would have made all real ones outdated, and the server down for good. A start in the future (an hour, clocks differ by seconds) and more calls than one in 10 ms are refused. Before: test_start_and_count_that_cannot_be failed.

--- a/src/ragwortstand/http_server.py
+++ b/src/ragwortstand/http_server.py
@@ -154,7 +154,7 @@
         """
         loop = asyncio.get_running_loop()
         server = await loop.create_server(
-            self._connection, sock=listener, backlog=BACKLOG
+            self._new_connection, sock=listener, backlog=BACKLOG
         )
         self._asyncio_server = server
         self._listener = listener
@@ -181,7 +181,7 @@
             waiting = self._accept_waiting(listener)
         loop = asyncio.get_running_loop()
         for connection in waiting:
-            await loop.connect_accepted_socket(self._connection, connection)
+            await loop.connect_accepted_socket(self._new_connection, connection)
 
     def close_idle(self) -> None:
         """Close idle connections now and the others after their responses."""
@@ -190,7 +190,7 @@
         for connection in tuple(self.connections):
             connection.close_if_idle(now_s)
 
-    def _connection(self) -> 'CallerConnection':
+    def _new_connection(self) -> 'CallerConnection':
         return CallerConnection(self)
 
     def _accept_waiting(self, listener: socket.socket) -> list[socket.socket]:
--- a/src/ragwortstand/platform/control.py
+++ b/src/ragwortstand/platform/control.py
@@ -22,6 +22,12 @@
 _HEARTBEAT_ACTION = '/heartbeat'
 _DEREGISTER_ACTION = '/deregister'
 _MAX_INSTANCE_ID_LENGTH = 200
+# Clocks of hosts differ by seconds; a start later than this is none.
+_MAX_CLOCK_OFFSET_MS = 3_600_000
+# Calls of one boot: at most one in this time, far more often than servers call,
+# and some for clocks that differ.
+_MIN_CALL_INTERVAL_MS = 10
+_SPARE_CALLS = 100_000
 _NANOSECONDS_PER_MS = 1_000_000
 _JSON_HEADERS: tuple[tuple[bytes, bytes], ...] = (
     (b'content-type', b'application/json'),
@@ -155,6 +161,10 @@
         address, port = _parse_address(heartbeat.address)
         if not heartbeat.service:
             raise ValueError('no service')
+        age_ms = _checked_age_ms(heartbeat.born, self._unix_ms())
+        max_calls = _SPARE_CALLS + age_ms // _MIN_CALL_INTERVAL_MS
+        if heartbeat.seq > max_calls:
+            raise ValueError(f'seq {heartbeat.seq} is too large for its start')
         await self._receiver.announce(
             Announcement(
                 instance=instance,
@@ -173,6 +183,8 @@
     async def _handle_deregistration(self, instance: str, body: bytes) -> None:
         deregistration = decode_json(body or b'{}', _Deregistration)
         born = deregistration.born
+        if born is not None:
+            _checked_age_ms(born, self._unix_ms())
         # Boots are numbered by the time of their start. One that starts after
         # this call is a new backend server under the same id.
         await self._receiver.depart(
@@ -182,6 +194,20 @@
         )
 
 
+def _checked_age_ms(born: int, now_unix_ms: int) -> int:
+    """Return the time since the start of a server, 0 with clocks that differ.
+
+    A start that is far too late would make all later heartbeats outdated.
+
+    :param born: the start in Unix milliseconds.
+    :param now_unix_ms: present time of day.
+    :raises ValueError: when the start is in the future.
+    """
+    if born > now_unix_ms + _MAX_CLOCK_OFFSET_MS:
+        raise ValueError(f'born {born} is in the future')
+    return max(0, now_unix_ms - born)
+
+
 def _parse_address(text: str) -> tuple[str, int]:
     """Return the host and the port of an address.
 
--- a/tests/test_platform_control.py
+++ b/tests/test_platform_control.py
@@ -130,6 +130,27 @@
             self.assertEqual(await self._deregister(body=body), 400)
         self.assertIs(self._state, BackendState.ABSENT)
 
+    # One such heartbeat made all later ones of the server look outdated.
+    async def test_start_and_count_that_cannot_be(self) -> None:
+        self.unix_ms = 1_700_000_000_000
+        started = self.unix_ms - 60_000
+        await self._heartbeat(born=started)
+        for changes in (
+            {'born': self.unix_ms + 86_400_000},
+            {'born': 2**62},
+            {'born': started, 'seq': 10**9},
+        ):
+            self.assertEqual(await self._heartbeat(**changes), 400)
+        later = b'{"born": 4611686018427387904}'
+        self.assertEqual(await self._deregister(body=later), 400)
+        await self._heartbeat(born=started, seq=5)
+        found = self.receiver.server.announcement
+        self.assertEqual(found and found.sequence, 5)
+
+    async def test_clocks_that_differ_by_seconds(self) -> None:
+        born = _NOW_UNIX_MS + 10_000
+        self.assertEqual(await self._heartbeat(born=born, seq=9000), 200)
+
     async def test_port_out_of_range_in_the_settings(self) -> None:
         for address in ('10.1.0.41:99999', '10.1.0.41:0', ':8628', 'here'):
             self.api.address = address
