--- a/src/ragwortstand/platform/control.py
+++ b/src/ragwortstand/platform/control.py
@@ -2,7 +2,7 @@
 
 import time
 from collections.abc import Awaitable, Callable
-from typing import Annotated, Protocol, TypeAlias
+from typing import Annotated, Literal, Protocol, TypeAlias
 
 import msgspec
 
@@ -43,11 +43,11 @@
 
 
 class _Heartbeat(msgspec.Struct, frozen=True, rename='camel'):
-    service: str
+    service: Annotated[str, msgspec.Meta(min_length=1)]
     address: str
     # Requests that the backend server runs concurrently; it queues the rest.
     capacity: Annotated[int, msgspec.Meta(ge=1, le=MAX_PLACES)]
-    state: str
+    state: Literal['ready', 'draining']
     # Increases with each call of one boot.
     seq: Count
     # Start of the backend server in Unix milliseconds, which identifies its
@@ -152,15 +152,11 @@
 
     async def _handle_heartbeat(self, instance: str, body: bytes) -> None:
         heartbeat = decode_json(body, _Heartbeat)
-        if heartbeat.state not in {'ready', 'draining'}:
-            raise ValueError(f'unknown state {heartbeat.state!r}')
         if heartbeat.address != self.address:
             raise ValueError(
                 f'{heartbeat.address} is not the configured address'
             )
         address, port = _parse_address(heartbeat.address)
-        if not heartbeat.service:
-            raise ValueError('no service')
         age_ms = _checked_age_ms(heartbeat.born, self._unix_ms())
         max_calls = _SPARE_CALLS + age_ms // _MIN_CALL_INTERVAL_MS
         if heartbeat.seq > max_calls:
