Read what a stopping daemon has accepted at least once, and share test builders

A stop whose time ran out while connections were accepted ended without having read from them. Builders of a sidecar's server and the steps around a stop are shared by the tests of this change.

--- a/src/ragwortstand/graceful_stop.py
+++ b/src/ragwortstand/graceful_stop.py
@@ -130,9 +130,11 @@
         await callers.stop_listening()
         now_s = clock.now_s()
         idle_at_s = now_s + _FINAL_REQUESTS_S
-        while now_s < min(idle_at_s, end_s):
+        is_read = False
+        while not is_read or now_s < min(idle_at_s, end_s):
             callers.close_idle()
             await _sleep_and_read()
+            is_read = True
             now_s = clock.now_s()
             if self._is_busy(callers):
                 idle_at_s = now_s + _FINAL_REQUESTS_S
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -3,10 +3,15 @@
 from collections import deque
 
 from ragwortstand.authoring import Configuration, Rank, Route, Service
+from ragwortstand.backend_servers import BackendServer
+from ragwortstand.backend_servers.latency_objective_admission import (
+    LatencyObjectiveAdmission,
+)
 from ragwortstand.events import Event
 from ragwortstand.exceptions import PlatformError
 from ragwortstand.ids import HostId, PeerAddress, RegionName, ZoneName
 from ragwortstand.peers.messages import Member, MemberState
+from ragwortstand.platform.headers import PlatformBackendDialect
 from ragwortstand.settings import (
     AdminSettings,
     DaemonSettings,
@@ -125,3 +130,13 @@
         """Store the event and its fields."""
         self.events.append(event)
         self.lines.append(fields)
+
+
+def sidecar_server(log: ListLog | None = None) -> BackendServer:
+    """Return a sidecar's part for a server on the users' platform."""
+    return BackendServer(
+        SIDECAR_SETTINGS,
+        log or ListLog(),
+        PlatformBackendDialect(),
+        LatencyObjectiveAdmission(),
+    )
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -6,39 +6,18 @@
 import anyio
 from msgspec.structs import replace
 
-from ragwortstand.backend_servers import (
-    Announcement,
-    BackendServer,
-    BackendState,
-)
-from ragwortstand.backend_servers.latency_objective_admission import (
-    LatencyObjectiveAdmission,
-)
+from ragwortstand.backend_servers import Announcement, BackendState
+from ragwortstand.backend_servers.connections import Endpoint
 from ragwortstand.ids import Fingerprint, ServiceName
 from ragwortstand.peers.members import Members
 from ragwortstand.published_server import PublishedServer
-from tests.fakes import SIDECAR_SETTINGS, ListLog, member
+from tests.fakes import SIDECAR_SETTINGS, member, sidecar_server
 from tests.forwarded import new_call
-
-
-def _server() -> BackendServer:
-    return BackendServer(
-        SIDECAR_SETTINGS, ListLog(), admission=LatencyObjectiveAdmission()
-    )
+from tests.test_in_band_signals import announcement
 
 
 def _announcement(**changes) -> Announcement:
-    fields = {
-        'instance': 'i-1',
-        'service': ServiceName('s'),
-        'address': '10.1.0.41',
-        'port': 8628,
-        'slots': 4,
-        'connections': 4,
-        'boot': 1000,
-        'sequence': 1,
-    }
-    return Announcement(**{**fields, **changes})
+    return announcement(Endpoint('10.1.0.41', 8628), **changes)
 
 
 class ConcurrentCallsTests(unittest.IsolatedAsyncioTestCase):
@@ -46,7 +25,7 @@
 
     def setUp(self) -> None:
         """Create a server whose crashes are reported to peers slowly."""
-        self.server = _server()
+        self.server = sidecar_server()
         self.reported = anyio.Event()
         self.server.crash_detector.on_crash = self._report
 
@@ -94,7 +73,7 @@
 
     def setUp(self) -> None:
         """Create a daemon that has just been restarted."""
-        self.server = _server()
+        self.server = sidecar_server()
         own = replace(member('h', service=None), boot=2)
         self.members = Members(own, SIDECAR_SETTINGS.membership, 0)
         self.published = PublishedServer(self.server, self.members)
--- a/tests/test_graceful_stop.py
+++ b/tests/test_graceful_stop.py
@@ -113,6 +113,24 @@
     Callers connect and send meanwhile, and the kernel accepts both.
     """
 
+    def _run_beside_stop(
+        self,
+        daemon: _StoppingDaemon,
+        send: Callable[[int], Awaitable[None]],
+    ) -> None:
+        """Stop a daemon while callers send; no request may be lost."""
+
+        async def scenario() -> None:
+            async with (
+                anyio.create_task_group() as tasks,
+                running_http(daemon.server) as port,
+            ):
+                tasks.start_soon(send, port)
+                await daemon.stop.run(daemon.server, _GRACE_S)
+            self.assertEqual(self._lost(), 0)
+
+        self._run(scenario)
+
     def _run(self, scenario: Callable[[], Awaitable[None]]) -> None:
         self.sockets: list[socket.socket] = []
         try:
@@ -164,16 +182,7 @@
             await anyio.sleep(0.25)
             await _delay_reading(0.3, lambda: caller.sendall(_REQUEST))
 
-        async def scenario() -> None:
-            async with (
-                anyio.create_task_group() as tasks,
-                running_http(daemon.server) as port,
-            ):
-                tasks.start_soon(send_during_a_delay, port)
-                await daemon.stop.run(daemon.server, _GRACE_S)
-            self.assertEqual(self._lost(), 0)
-
-        self._run(scenario)
+        self._run_beside_stop(daemon, send_during_a_delay)
 
     def test_requests_of_any_moment_are_answered(self) -> None:
         daemon = _StoppingDaemon()
@@ -189,17 +198,8 @@
                 time.sleep(0.35)  # noqa: ASYNC251
                 await anyio.sleep(0.01)
 
-        async def scenario() -> None:
-            async with (
-                anyio.create_task_group() as tasks,
-                running_http(daemon.server) as port,
-            ):
-                tasks.start_soon(delay_loop, port)
-                await daemon.stop.run(daemon.server, _GRACE_S)
-            self.assertGreater(len(self.sockets), 10)
-            self.assertEqual(self._lost(), 0)
-
-        self._run(scenario)
+        self._run_beside_stop(daemon, delay_loop)
+        self.assertGreater(len(self.sockets), 10)
 
 
 async def _delay_reading(delay_s: float, action: Callable[[], None]) -> None:
--- a/tests/test_in_band_signals.py
+++ b/tests/test_in_band_signals.py
@@ -25,7 +25,7 @@
     PlatformBackendDialect,
 )
 from ragwortstand.verdicts import Answered, Cause, Refused
-from tests.fakes import SIDECAR_SETTINGS, ListLog
+from tests.fakes import SIDECAR_SETTINGS, ListLog, sidecar_server
 from tests.forwarded import new_call
 from tests.servers import answering, running_server
 
@@ -159,12 +159,7 @@
     def setUp(self) -> None:
         """Create the daemon's part for one server."""
         self.changes: list[BackendState] = []
-        self.server = BackendServer(
-            SIDECAR_SETTINGS,
-            ListLog(),
-            PlatformBackendDialect(),
-            LatencyObjectiveAdmission(),
-        )
+        self.server = sidecar_server()
         self.server.on_change = lambda: self.changes.append(self.server.state)
 
     async def test_no_request_is_sent_after_such_a_response(self) -> None:
--- a/tests/test_rate_limited_servers.py
+++ b/tests/test_rate_limited_servers.py
@@ -11,11 +11,8 @@
 from hypothesis import strategies as st
 
 from ragwortstand import clock
-from ragwortstand.backend_servers import BackendServer, Load
+from ragwortstand.backend_servers import Load
 from ragwortstand.backend_servers.connections import Endpoint
-from ragwortstand.backend_servers.latency_objective_admission import (
-    LatencyObjectiveAdmission,
-)
 from ragwortstand.backend_servers.rate_limiter import (
     RateLimiter,
     ServerRateLimit,
@@ -24,7 +21,6 @@
 from ragwortstand.models import Rank
 from ragwortstand.peers.choice import Locality
 from ragwortstand.peers.latency_objective_choice import LatencyObjectiveChoice
-from ragwortstand.platform.headers import PlatformBackendDialect
 from ragwortstand.tools.model import (
     Fault,
     FleetModel,
@@ -40,7 +36,7 @@
     sidecar_policy,
 )
 from ragwortstand.verdicts import Cause, Refused
-from tests.fakes import SIDECAR_SETTINGS, ListLog, member
+from tests.fakes import member, sidecar_server
 from tests.forwarded import new_call
 from tests.servers import answering, running_server
 from tests.test_in_band_signals import announcement, response
@@ -195,12 +191,7 @@
 
     def setUp(self) -> None:
         """Create the daemon's part after the restart."""
-        self.server = BackendServer(
-            SIDECAR_SETTINGS,
-            ListLog(),
-            PlatformBackendDialect(),
-            LatencyObjectiveAdmission(),
-        )
+        self.server = sidecar_server()
         self.limit = ServerRateLimit(('i-1', 1000), 0.5)
 
     async def test_limit_is_valid_before_the_first_response(self) -> None:
--- a/tests/test_repeated_responses.py
+++ b/tests/test_repeated_responses.py
@@ -5,20 +5,15 @@
 import anyio
 from anyio.abc import SocketStream
 
-from ragwortstand.backend_servers import BackendServer
 from ragwortstand.backend_servers.connections import Endpoint
-from ragwortstand.backend_servers.latency_objective_admission import (
-    LatencyObjectiveAdmission,
-)
 from ragwortstand.calls import Call
 from ragwortstand.platform.headers import (
     NOT_RUN,
     REQUEST_ID,
     STAMP,
-    PlatformBackendDialect,
 )
 from ragwortstand.verdicts import Answered, Cause, Outcome, Refused, Unknown
-from tests.fakes import SIDECAR_SETTINGS, ListLog
+from tests.fakes import sidecar_server
 from tests.forwarded import new_call
 from tests.servers import Script, running_server
 from tests.test_in_band_signals import announcement
@@ -61,12 +56,7 @@
 
     def setUp(self) -> None:
         """Create the daemon's part for one server."""
-        self.server = BackendServer(
-            SIDECAR_SETTINGS,
-            ListLog(),
-            PlatformBackendDialect(),
-            LatencyObjectiveAdmission(),
-        )
+        self.server = sidecar_server()
 
     async def _run(self, endpoint: Endpoint, *names: str) -> list[Outcome]:
         await self.server.announce(announcement(endpoint), anyio.current_time())
