Ask another peer for an offered version when the first does not send it

A daemon whose first offer of a version came from a host that then fell silent ignored all other offers until that request had timed out, after 2 s, which is as long as a confirmed version may take to be in force everywhere.

Offers are kept now. Before: test_silent_peer_does_not_hold_ up_the_offers_of_others failed.

--- a/src/ragwortstand/peers/distribution.py
+++ b/src/ragwortstand/peers/distribution.py
@@ -30,6 +30,7 @@
     OfferVersion,
     VersionContent,
 )
+from ragwortstand.peers.offer_fetcher import OfferFetcher
 from ragwortstand.peers.protocols import PeerLinks
 from ragwortstand.peers.push_targets import push_targets
 from ragwortstand.peers.version_sources import DistributionPolicy, VersionSource
@@ -84,7 +85,7 @@
         self._tasks: TaskGroup | None = None
         # Compressed content of the version in force, by the base of the delta.
         self._payloads: dict[Version, bytes] = {}
-        self._is_fetching = False
+        self._offer_fetcher = OfferFetcher(self._fetch, lambda: gate.version)
         self.is_initialized = False
         gate.subscribe(self._on_applied)
 
@@ -110,11 +111,8 @@
         :param version: the version of the peer.
         :param address: address that the peer listens on.
         """
-        if version <= self._gate.version or self._is_fetching:
-            return
         if self._tasks and self._policy.is_pushing:
-            self._is_fetching = True
-            self._tasks.start_soon(self._fetch_in_background, version, address)
+            self._offer_fetcher.add(version, address, self._tasks)
 
     def apply_accepted(self, record: VersionRecord, content: bytes) -> None:
         """Put in force a version that was submitted here and accepted.
@@ -278,16 +276,6 @@
         self._report_refusal(offer, record.version)
         return record.version <= self._gate.version
 
-    async def _fetch_in_background(
-        self,
-        version: Version,
-        address: PeerAddress,
-    ) -> None:
-        try:
-            await self._fetch(version, address)
-        finally:
-            self._is_fetching = False
-
     async def _fetch(self, version: Version, address: PeerAddress) -> bool:
         request = FetchVersion(version, self._gate.version)
         try:
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -20,6 +20,7 @@
 from ragwortstand.peers.distribution import Distributor
 from ragwortstand.peers.members import Members
 from ragwortstand.peers.messages import (
+    Done,
     FetchVersion,
     NotHeld,
     Reply,
@@ -182,3 +183,68 @@
             self.assertEqual(self._fetched(2, held=held).base, held)
         request = FetchVersion(Version(4), Version(3))
         self.assertIsInstance(self.distributor.on_fetch(request), NotHeld)
+
+
+class _SilentPeerLinks(_NoLinks):
+    """Links over which peer `a` never replies, and the others do at once."""
+
+    def __init__(self, holder: Distributor) -> None:
+        self._holder = holder
+
+    async def send_request(
+        self,
+        address: PeerAddress,
+        request: Request,
+        timeout_s: float,
+    ) -> Reply:
+        if address == member('a').peer_address:
+            await anyio.sleep(timeout_s)
+            raise PeerError('no reply', Verdict.MAY_HAVE_RUN)
+        if not isinstance(request, FetchVersion):
+            return Done()
+        return self._holder.on_fetch(request)
+
+
+class OfferTests(unittest.TestCase):
+    """A version that several peers offer."""
+
+    def setUp(self) -> None:
+        """Create a peer that has version 2."""
+        self.holder_gate = VersionGate()
+        self.holder = self._distributor(self.holder_gate, _NoLinks())
+        self.holder_gate.offer(Version(2), digest_of(_CONTENT), _CONTENT)
+        self.gate = VersionGate()
+
+    def _distributor(self, gate: VersionGate, links: _NoLinks) -> Distributor:
+        members = Members(member('own'), MembershipSettings(), 0.0)
+        members.merge([member('a'), member('b')], 0.0)
+        return Distributor(
+            gate,
+            _Store(),
+            members,
+            links,
+            _POLICY,
+            Metrics(),
+            ListLog(),
+            random.Random(1),
+        )
+
+    # A daemon whose first offer came from a host that fell silent ignored the
+    # offers of all others until that request had timed out.
+    def test_silent_peer_does_not_hold_up_the_offers_of_others(self) -> None:
+        async def play() -> None:
+            links = _SilentPeerLinks(self.holder)
+            distributor = self._distributor(self.gate, links)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(distributor.run)
+                await anyio.sleep(0.1)
+                for name in ('a', 'b'):
+                    address = member(name).peer_address
+                    distributor.on_peer_version(Version(2), address)
+                    await anyio.sleep(0.05)
+                # Versions have to be in force 2 s after their acceptance.
+                await anyio.sleep(1.5)
+                self.assertEqual(self.gate.version, Version(2))
+                tasks.cancel_scope.cancel()
+
+        run_in_virtual_time(play)
