--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -45,7 +45,7 @@
     '{"cluster":"c","host":"b","peer_address":"tcp://10.0.0.1:7600",'
     '"written_unix_s":1.0}'
 )
-ODD_ENTRIES = (
+_ODD_ENTRIES = (
     _NESTED,
     _ENTRY.replace('"c"', _NESTED),
     _ENTRY.replace('{', f'{{"more":{_NESTED},'),
@@ -86,7 +86,7 @@
     async def test_odd_rows_are_logged_and_the_others_are_used(self) -> None:
         platform = FakePlatform()
         good = EntryPoint('c', HostId('good'), member('good').peer_address, 0.0)
-        rows = [*ODD_ENTRIES, msgspec.json.encode(good).decode()]
+        rows = [*_ODD_ENTRIES, msgspec.json.encode(good).decode()]
         writes = tuple(
             Write(f'member/c/row-{number:02}', text)
             for number, text in enumerate(rows)
@@ -107,14 +107,14 @@
         with anyio.move_on_after(0.1):
             await discovery.run()
         self.assertEqual(gossip.joined, [member('good').peer_address])
-        self.assertEqual(log.events.count(Event.ROW_REFUSED), len(ODD_ENTRIES))
+        self.assertEqual(log.events.count(Event.ROW_REFUSED), len(_ODD_ENTRIES))
 
     async def test_entry_points(self) -> None:
         platform = FakePlatform()
         entry_points = EntryPoints(platform, 'c', ListLog())
         writes = tuple(
             Write(f'entry/c/z/{number:02}', text)
-            for number, text in enumerate(ODD_ENTRIES)
+            for number, text in enumerate(_ODD_ENTRIES)
         )
         platform.table.transact(Transaction((), writes))
         good = EntryPoint('c', HostId('g'), PeerAddress('tcp://g:1'), 0.0)
--- a/tests/test_large_responses.py
+++ b/tests/test_large_responses.py
@@ -60,12 +60,14 @@
     async def test_gets_all_of_it_and_delays_no_other(self) -> None:
         server = HttpServer(_answer, lambda: _LIMITS, ListLog())
         taken_s = []
-        async with running_http(server) as port:
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(self._read_slowly, port)
-                for _ in range(10):
-                    taken_s.append(await _time_of_small_s(port))
-                    await anyio.sleep(0.1)
+        async with (
+            running_http(server) as port,
+            anyio.create_task_group() as tasks,
+        ):
+            tasks.start_soon(self._read_slowly, port)
+            for _ in range(10):
+                taken_s.append(await _time_of_small_s(port))
+                await anyio.sleep(0.1)
         self.assertGreaterEqual(self.received_bytes, _VERY_LARGE_BYTES)
         self.assertLess(sorted(taken_s)[5], _SMALL_WITHIN_S)
 
