--- a/src/ragwortstand/backend_servers/server.py
+++ b/src/ragwortstand/backend_servers/server.py
@@ -413,7 +413,7 @@
             self.on_change()
 
     def _reported_fields(self) -> tuple[object, ...]:
-        """Return what peers are told of; a change of it is a change to them.
+        """Return the fields whose changes peers are told of.
 
         A departure counts also where it changes no state, as peers return it
         when this daemon has been restarted.
--- a/src/ragwortstand/graceful_stop.py
+++ b/src/ragwortstand/graceful_stop.py
@@ -128,16 +128,15 @@
         self._members.update_own(is_ready=False, state=MemberState.LEFT)
         self._announce()
         await callers.stop_listening()
-        now_s = clock.now_s()
-        idle_at_s = now_s + _FINAL_REQUESTS_S
-        is_read = False
-        while not is_read or now_s < min(idle_at_s, end_s):
+        idle_at_s = clock.now_s() + _FINAL_REQUESTS_S
+        while True:
             callers.close_idle()
             await _sleep_and_read()
-            is_read = True
             now_s = clock.now_s()
             if self._is_busy(callers):
                 idle_at_s = now_s + _FINAL_REQUESTS_S
+            if now_s >= min(idle_at_s, end_s):
+                return
 
     def _update_refusals(self, elapsed_s: float) -> None:
         """Refuse requests of other daemons first, and callers' later."""
--- a/src/ragwortstand/ids.py
+++ b/src/ragwortstand/ids.py
@@ -23,8 +23,8 @@
 Fingerprint = NewType('Fingerprint', str)
 #: Address of a socket in the form ``tcp://host:port``.
 PeerAddress = NewType('PeerAddress', str)
-#: Peer address in a document, checked as it is decoded: a host name of at most
-#: 63 characters or an IPv4 address, and a port from 1 to 65535.
+#: Peer address in a document, checked as it is decoded: an IPv4 address or a
+#: host name with labels of at most 63 characters, and a port from 1 to 65535.
 DecodedPeerAddress = Annotated[
     PeerAddress,
     msgspec.Meta(
--- a/src/ragwortstand/peers/streams.py
+++ b/src/ragwortstand/peers/streams.py
@@ -294,7 +294,7 @@
             try:
                 link = await self._dial(address, timeout_s)
             except (OSError, ValueError, OverflowError) as error:
-                # The latter two for hosts and ports that do not exist.
+                # The latter two are raised for invalid hosts and ports.
                 until_s = clock.now_s() + _REDIAL_PAUSE_S
                 self._no_dial_until_s[address] = until_s
                 if isinstance(error, ConnectionRefusedError):
