Select readers of the store among members that are not suspected

A daemon went on to leave the store to readers that it suspected itself, until they were declared dead two seconds later. If both readers are lost at once, and for daemons that are cut off from both, a version was held up by that time. Suspected members are selected now only if there are no others. The last member of a fleet that leaves raised ValueError in the same function; it gets an empty list.

--- a/src/ragwortstand/peers/distribution.py
+++ b/src/ragwortstand/peers/distribution.py
@@ -346,14 +346,16 @@
     """Return the members that read the store for all daemons.
 
     They are selected by rendezvous hashing among the members that reach the
-    store best.
+    store best. Suspected members are selected only if there are no others.
 
     :param members: the member list.
     """
-    usable = {member.host: member for member in members.usable()}
-    reach = max(member.store_reach for member in usable.values())
-    hosts = [
-        host for host, member in usable.items() if member.store_reach == reach
-    ]
-    order = ranked('store-reader', hosts)
-    return [usable[host] for host in order[:_READER_COUNT]]
+    candidates = members.in_state(MemberState.ALIVE) or members.usable()
+    reach = max((member.store_reach for member in candidates), default=0)
+    by_host = {
+        member.host: member
+        for member in candidates
+        if member.store_reach == reach
+    }
+    order = ranked('store-reader', list(by_host))
+    return [by_host[host] for host in order[:_READER_COUNT]]
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -17,11 +17,12 @@
 from ragwortstand.metrics import Metrics
 from ragwortstand.models import digest_of
 from ragwortstand.peers.deltas import decompress
-from ragwortstand.peers.distribution import Distributor
+from ragwortstand.peers.distribution import Distributor, store_readers
 from ragwortstand.peers.members import Members
 from ragwortstand.peers.messages import (
     Done,
     FetchVersion,
+    MemberState,
     NotHeld,
     Reply,
     Request,
@@ -147,6 +148,38 @@
         self.assertEqual(self.gate.version, Version(1))
 
 
+class StoreReadersTests(unittest.TestCase):
+    """Members that read the store for all."""
+
+    def setUp(self) -> None:
+        """Create four members that reach the store alike."""
+        self.members = Members(member('own'), MembershipSettings(), 0.0)
+        self.members.merge([member(name) for name in 'abc'], 0.0)
+
+    def test_suspected_readers_are_replaced_at_once(self) -> None:
+        """The loss of both readers would hold up a version for seconds."""
+        own = self.members.own
+        first = [one for one in store_readers(self.members) if one != own]
+        self.assertTrue(first)
+        for reader in first:
+            self.members.suspect(reader.host, 0.0)
+        second = store_readers(self.members)
+        self.assertEqual(len(second), 2)
+        second_hosts = {reader.host for reader in second}
+        self.assertFalse(second_hosts & {reader.host for reader in first})
+
+    def test_suspected_members_read_if_there_are_no_others(self) -> None:
+        self.members.update_own(state=MemberState.LEFT)
+        for name in 'abc':
+            self.members.suspect(HostId(name), 0.0)
+        self.assertEqual(len(store_readers(self.members)), 2)
+
+    def test_last_member_leaves(self) -> None:
+        members = Members(member('own'), MembershipSettings(), 0.0)
+        members.update_own(state=MemberState.LEFT)
+        self.assertEqual(store_readers(members), [])
+
+
 class FetchTests(unittest.TestCase):
     """Replies to peers that fetch a version."""
 
