Read the store when most requests to other members get no reply

Six daemons of 90 that are cut off together tell each other of changes of their entries, so none of them was isolated, and the readers' offers came from the other side only.

ReplyRecord keeps which requests of the last two seconds got a reply; a daemon without a reply to most of them reads for itself. A daemon of the larger part reaches the two that repeat a failed probe.

--- a/src/ragwortstand/peers/distribution.py
+++ b/src/ragwortstand/peers/distribution.py
@@ -242,12 +242,11 @@
     def _reader_position(self, now_s: float) -> int | None:
         """Return this daemon's position among the readers, or None.
 
-        A daemon that receives no messages from others is its own reader, as
-        the readers' offers can't reach it.
+        A daemon that is cut off from most others is its own reader, as the
+        readers' offers may not reach it.
         """
         own = self._members.own
-        silence_s = now_s - self._members.last_contact_s
-        if self._members.peers() and silence_s > self._policy.isolated_after_s:
+        if self._members.peers() and self._is_isolated(now_s):
             return 0
         store_region = self._policy.store_region
         if store_region is None:
@@ -262,6 +261,13 @@
             )
         return readers.index(own) if own in readers else None
 
+    def _is_isolated(self, now_s: float) -> bool:
+        silence_s = now_s - self._members.last_contact_s
+        return (
+            silence_s > self._policy.isolated_after_s
+            or self._members.replies.is_mostly_unanswered(now_s)
+        )
+
     def _has_peer_in_region(self, region: str) -> bool:
         return any(peer.region == region for peer in self._members.peers())
 
--- a/src/ragwortstand/peers/gossip.py
+++ b/src/ragwortstand/peers/gossip.py
@@ -135,7 +135,7 @@
         chosen = self._rng.sample(peers, fanout)
         async with anyio.create_task_group() as probes:
             for peer in chosen:
-                probes.start_soon(self._ping, peer)
+                probes.start_soon(self._ping_and_record, peer)
 
     async def send_own_entry(self) -> None:
         """Send only this daemon's own entry to a few random members."""
@@ -147,7 +147,7 @@
         own = (self._members.own,)
         async with anyio.create_task_group() as probes:
             for peer in chosen:
-                probes.start_soon(self._ping, peer, own)
+                probes.start_soon(self._ping_and_record, peer, own)
 
     async def join(
         self,
@@ -277,7 +277,7 @@
         )
 
     async def _probe(self, target: Member) -> None:
-        is_reachable = await self._ping(target)
+        is_reachable = await self._ping_and_record(target)
         if is_reachable or await self._ping_indirectly(target):
             self._unreachable_by_zone.pop(target.zone, None)
             return
@@ -307,6 +307,19 @@
             if peer.zone == target.zone:
                 self._members.suspect(peer.host, now_s)
 
+    async def _ping_and_record(
+        self,
+        target: Member,
+        updates: tuple[Member, ...] | None = None,
+    ) -> bool:
+        is_answered = await self._ping(target, updates)
+        self._record_result(is_answered=is_answered)
+        return is_answered
+
+    def _record_result(self, *, is_answered: bool) -> None:
+        now_s = anyio.current_time()
+        self._members.replies.record(now_s, is_answered=is_answered)
+
     async def _ping(
         self,
         target: Member,
@@ -372,7 +385,9 @@
                 helper.peer_address, request, timeout_s
             )
         except PeerError:
+            self._record_result(is_answered=False)
             return
+        self._record_result(is_answered=True)
         replies.append(isinstance(reply, IndirectPong) and reply.is_alive)
 
     def _updates_for(self, host: HostId) -> tuple[Member, ...]:
--- a/src/ragwortstand/peers/members.py
+++ b/src/ragwortstand/peers/members.py
@@ -11,6 +11,7 @@
 from ragwortstand.peers.messages import Member, MemberState
 from ragwortstand.peers.offering_index import OfferingIndex
 from ragwortstand.peers.previous_boots import PreviousBoots
+from ragwortstand.peers.reply_record import ReplyRecord
 from ragwortstand.rendezvous import ranked
 from ragwortstand.settings import MembershipSettings
 
@@ -57,6 +58,7 @@
     `digest` is equal for lists with the same present members.
     `previous_boots` has what earlier processes of daemons have published.
     `last_contact_s` is the time of the last message from any other member.
+    `replies` has which of the recent requests to others got a reply.
 
     :param own: this daemon.
     :param settings: how long members stay suspected or departed.
@@ -78,6 +80,7 @@
         self._offering.put(own, is_usable=own.state in _USABLE_STATES)
         self._role_orders: dict[str, list[HostId]] = {}
         self.previous_boots = PreviousBoots()
+        self.replies = ReplyRecord()
         self.last_contact_s = now_s
         self.digest = _entry_hash(own)
         self.on_change: Callable[[Member], None] = _ignore_member
