Wait until each host knows both servers before the load of a limit test

Traced with the daemons' logs kept: in two of five runs at a load of 4 to 7 the first requests were refused as rate-limited by hosts whose member list had only the limited server ("offering": ["host-1"]). The test waited only until the first host had reached any server of each service; a host that knows no other server has to refuse. So the daemons were right, and the test's start was not.

The load starts now when each host has reached the second server. The checks are the same: each request is answered with 200, and the limit is kept from the time it is named, which includes the requests of the wait.

--- a/tests/test_server_rate_limit.py
+++ b/tests/test_server_rate_limit.py
@@ -26,6 +26,7 @@
 _PUBLISHING_S = 3.0
 # Requests of hosts that have heard of the limit for this time are counted.
 _NOTICE_S = 0.5
+_KNOWN_WITHIN_S = 10.0
 
 
 async def _send_load(fleet: Fleet) -> list[int]:
@@ -44,6 +45,16 @@
     return statuses
 
 
+async def _wait_until_known(fleet: Fleet, instance: str) -> None:
+    """Send requests to each host until one reaches a backend server."""
+    with anyio.fail_after(_KNOWN_WITHIN_S):
+        for host in fleet.hosts:
+            body = b''
+            while body != instance.encode():
+                answered = await fleet.ask(host, _PATH, f'k{clock.now_s()}')
+                body = answered.body if answered else b''
+
+
 def _most_in_window(times_s: list[float]) -> int:
     return max(
         (
@@ -66,6 +77,8 @@
             limited = fleet.hosts[0].backend_server
             limited.signals = ((b'server-limit', b'%g' % _LIMIT_PER_S),)
             named_at_s = clock.now_s()
+            # A host that knows no other server of the service has to refuse.
+            await _wait_until_known(fleet, 'i-2')
             statuses = await _send_load(fleet)
         self._assert_limit_is_kept(limited, _LIMIT_PER_S, named_at_s)
         self.assertEqual(set(statuses), {200})
