Count a crash only against a suspect that was running

A popular request was quarantined with the one that crashed the servers.

Suspects run one at a time, so if one was running, it is the likely cause, and the crash is counted against it alone; the other requests in flight become suspects at most. Daemons of the code before get the counted ones in the same place of the message and ignore the rest. A suspicion that has expired is not counted any more, either.

Before: test_crash_counts_against_the_suspect_that_runs and test_crash_while_a_suspect_runs failed (the report had no such distinction).

--- a/src/ragwortstand/backend_servers/crash_detector.py
+++ b/src/ragwortstand/backend_servers/crash_detector.py
@@ -6,14 +6,20 @@
 """
 
 from collections import deque
-from collections.abc import Awaitable, Callable, Iterable, Iterator
+from collections.abc import (
+    Awaitable,
+    Callable,
+    Collection,
+    Iterable,
+    Iterator,
+)
 from contextlib import contextmanager
 from dataclasses import dataclass, field
-from typing import TypeAlias
+from typing import NamedTuple, TypeAlias
 
 import anyio
 
-from ragwortstand.backend_servers.crash_record import CrashRecord
+from ragwortstand.backend_servers.crash_record import CrashRecord, CrashReport
 from ragwortstand.calls import Call
 from ragwortstand.events import Event, EventLog
 from ragwortstand.ids import Fingerprint
@@ -22,38 +28,47 @@
 _RECENT_LOSS_S = 5.0
 _MAX_RECENT_LOSSES = 200
 
-CrashListener: TypeAlias = Callable[
-    [tuple[Fingerprint, ...]],
-    Awaitable[None],
-]
+CrashListener: TypeAlias = Callable[[CrashReport], Awaitable[None]]
 
 ClearListener: TypeAlias = Callable[[Fingerprint], Awaitable[None]]
 
 
+class SentRequest(NamedTuple):
+    """A request as it was sent.
+
+    :param fingerprint: the request.
+    :param is_suspect: whether it was a suspect already when it was sent.
+    """
+
+    fingerprint: Fingerprint
+    is_suspect: bool
+
+
 @dataclass(slots=True)
 class InFlightRequests:
     """Requests between their first byte sent and their response.
 
-    :param calls: the requests by the id of their object.
+    :param requests: the requests by the id of their call.
     :param reported: set once the other daemons were notified of a crash.
     """
 
-    calls: dict[int, Call] = field(default_factory=dict)
+    requests: dict[int, SentRequest] = field(default_factory=dict)
     reported: anyio.Event = field(default_factory=anyio.Event)
 
     @contextmanager
-    def track(self, call: Call) -> Iterator[None]:
+    def track(self, call: Call, *, is_suspect: bool) -> Iterator[None]:
         """Count a request as in flight."""
-        self.calls[id(call)] = call
+        sent = SentRequest(call.fingerprint, is_suspect)
+        self.requests[id(call)] = sent
         try:
             yield
         finally:
-            self.calls.pop(id(call), None)
+            self.requests.pop(id(call), None)
 
 
 @dataclass(frozen=True, slots=True)
 class _LostConnection:
-    fingerprint: Fingerprint
+    sent: SentRequest
     at_s: float
 
 
@@ -96,17 +111,14 @@
         :param in_flight: the requests in flight that it belonged to.
         :param accepts_connections: tries a new connection.
         """
+        sent = in_flight.requests[id(call)]
         if in_flight is self.in_flight and await accepts_connections():
             now_s = anyio.current_time()
-            self._lost_connections.append(
-                _LostConnection(call.fingerprint, now_s)
-            )
+            self._lost_connections.append(_LostConnection(sent, now_s))
             return Cause.CONNECTION_LOST
         if in_flight is self.in_flight:
             self.in_flight = InFlightRequests()
-            await self._record_crash(
-                other.fingerprint for other in in_flight.calls.values()
-            )
+            await self._record_crash(in_flight.requests.values())
             in_flight.reported.set()
         await in_flight.reported.wait()
         return Cause.CRASHED
@@ -120,7 +132,7 @@
         :param now_s: present time.
         """
         recent = {
-            lost.fingerprint
+            lost.sent
             for lost in self._lost_connections
             if now_s - lost.at_s <= _RECENT_LOSS_S
         }
@@ -133,16 +145,28 @@
         self.record.clear(fingerprint)
         await self.on_clear(fingerprint)
 
-    async def _record_crash(self, suspects: Iterable[Fingerprint]) -> None:
-        fingerprints = tuple(set(suspects))
-        quarantined = self.record.add(fingerprints, anyio.current_time())
-        self._log.emit(Event.CRASH_SUSPECTS, fingerprints=list(fingerprints))
+    async def _record_crash(self, in_flight: Iterable[SentRequest]) -> None:
+        report = _report_of(tuple(in_flight))
+        quarantined = self.record.add(report, anyio.current_time())
+        self._log.emit(
+            Event.CRASH_SUSPECTS,
+            fingerprints=list(report.counted),
+            others=list(report.others),
+        )
         for fingerprint in quarantined:
             self._log.emit(Event.QUARANTINED, fingerprint=fingerprint)
-        await self.on_crash(fingerprints)
+        await self.on_crash(report)
+
+
+def _report_of(in_flight: Collection[SentRequest]) -> CrashReport:
+    """Count a crash against the suspects that ran, else against all."""
+    fingerprints = {sent.fingerprint for sent in in_flight}
+    suspects = {sent.fingerprint for sent in in_flight if sent.is_suspect}
+    counted = suspects or fingerprints
+    return CrashReport(tuple(counted), tuple(fingerprints - counted))
 
 
-async def _ignore_crash(suspects: tuple[Fingerprint, ...]) -> None:
+async def _ignore_crash(report: CrashReport) -> None:
     """Ignore a crash."""
 
 
--- a/src/ragwortstand/backend_servers/crash_record.py
+++ b/src/ragwortstand/backend_servers/crash_record.py
@@ -1,6 +1,5 @@
 """ragwortstand.backend_servers.crash_record: crash counts by request."""
 
-from collections.abc import Iterable
 from dataclasses import dataclass
 
 from ragwortstand.ids import Fingerprint
@@ -21,11 +20,26 @@
     until_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class CrashReport:
+    """Requests that were in flight when a backend server crashed.
+
+    :param counted: requests that the crash is counted against.
+    :param others: requests that become suspects at most, as a suspect was
+        running, which is the likely cause.
+    """
+
+    counted: tuple[Fingerprint, ...]
+    others: tuple[Fingerprint, ...] = ()
+
+
 class CrashRecord:
     """Counts the crashes during which each request was in flight.
 
     A request that was in flight in two crashes is quarantined. A suspect that
-    completes is cleared.
+    completes is cleared. Suspects run one at a time, so a crash while one runs
+    is not counted against the other requests: copies of a popular request are
+    in flight in any crash.
     """
 
     def __init__(self) -> None:
@@ -36,25 +50,23 @@
         """Return whether there is any suspicion."""
         return bool(self._suspicions)
 
-    def add(
-        self,
-        fingerprints: Iterable[Fingerprint],
-        now_s: float,
-    ) -> tuple[Fingerprint, ...]:
+    def add(self, report: CrashReport, now_s: float) -> tuple[Fingerprint, ...]:
         """Count one crash against the requests that were in flight.
 
-        :param fingerprints: the requests in flight at the crash.
+        :param report: the requests in flight at the crash.
         :param now_s: present time.
         :returns: the requests that become quarantined by this crash.
         """
+        until_s = now_s + SUSPICION_S
         quarantined = []
-        for fingerprint in fingerprints:
-            suspicion = self._suspicions.get(fingerprint)
-            crashes = suspicion.crashes + 1 if suspicion else 1
-            until_s = now_s + SUSPICION_S
+        for fingerprint in report.counted:
+            crashes = self.crashes(fingerprint, now_s) + 1
             self._suspicions[fingerprint] = Suspicion(crashes, until_s)
             if crashes == QUARANTINE_CRASHES:
                 quarantined.append(fingerprint)
+        for fingerprint in report.others:
+            if not self.crashes(fingerprint, now_s):
+                self._suspicions[fingerprint] = Suspicion(1, until_s)
         return tuple(quarantined)
 
     def crashes(self, fingerprint: Fingerprint, now_s: float) -> int:
--- a/src/ragwortstand/backend_servers/request_sender.py
+++ b/src/ragwortstand/backend_servers/request_sender.py
@@ -138,7 +138,8 @@
         in_flight = self._crash_detector.in_flight
         pool = self._pool
         call.is_dispatched = True
-        with in_flight.track(call):
+        is_suspect = self._crash_detector.is_suspect(call, clock.now_s())
+        with in_flight.track(call, is_suspect=is_suspect):
             try:
                 answered = await connection.exchange(
                     self._dialect.request(call, self._instance, clock.now_s())
--- a/src/ragwortstand/backend_servers/server.py
+++ b/src/ragwortstand/backend_servers/server.py
@@ -138,7 +138,7 @@
     @property
     def in_flight(self) -> int:
         """Return how many requests run on the backend server."""
-        return len(self.crash_detector.in_flight.calls)
+        return len(self.crash_detector.in_flight.requests)
 
     def load(self, now_s: float) -> Load:
         """Return the load of the backend server."""
--- a/src/ragwortstand/peers/crash_notifications.py
+++ b/src/ragwortstand/peers/crash_notifications.py
@@ -5,6 +5,7 @@
 
 import anyio
 
+from ragwortstand.backend_servers.crash_record import CrashReport
 from ragwortstand.ids import Fingerprint, ServiceName
 from ragwortstand.peers.forwarding import Forwarder
 from ragwortstand.peers.members import Members
@@ -27,9 +28,9 @@
     forwarder: Forwarder
     service: Callable[[], ServiceName | None]
 
-    async def on_crash(self, suspects: tuple[Fingerprint, ...]) -> None:
+    async def on_crash(self, report: CrashReport) -> None:
         """Notify the daemons that may run the suspects next."""
-        await self._notify_peers(CrashSuspects(suspects))
+        await self._notify_peers(CrashSuspects(report.counted, report.others))
 
     async def on_clear(self, fingerprint: Fingerprint) -> None:
         """Notify them that a suspect has run without a crash."""
--- a/src/ragwortstand/peers/handlers.py
+++ b/src/ragwortstand/peers/handlers.py
@@ -2,7 +2,7 @@
 
 import anyio
 
-from ragwortstand.backend_servers.crash_record import CrashRecord
+from ragwortstand.backend_servers.crash_record import CrashRecord, CrashReport
 from ragwortstand.ids import HostId
 from ragwortstand.peers.distribution import Distributor
 from ragwortstand.peers.forwarding import ForwardedWork
@@ -70,7 +70,8 @@
                 return self._forwarded.cancel(request)
             case CrashSuspects():
                 now_s = anyio.current_time()
-                self._crash_record.add(request.fingerprints, now_s)
+                report = CrashReport(request.fingerprints, request.others)
+                self._crash_record.add(report, now_s)
                 return Done()
             case SuspectCleared():
                 self._crash_record.clear(request.fingerprint)
--- a/src/ragwortstand/peers/messages.py
+++ b/src/ragwortstand/peers/messages.py
@@ -281,9 +281,14 @@
 
 
 class CrashSuspects(_Message, frozen=True):
-    """Notification of requests in flight when a backend server crashed."""
+    """Notification of requests in flight when a backend server crashed.
+
+    :param fingerprints: requests that the crash is counted against.
+    :param others: requests that become suspects at most.
+    """
 
     fingerprints: tuple[Fingerprint, ...]
+    others: tuple[Fingerprint, ...] = ()
 
 
 class SuspectCleared(_Message, frozen=True):
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -7,7 +7,7 @@
 
 import anyio
 
-from ragwortstand.backend_servers.crash_record import CrashRecord
+from ragwortstand.backend_servers.crash_record import CrashRecord, CrashReport
 from ragwortstand.callers.at_most_once import AtMostOnceRunner
 from ragwortstand.calls import Call
 from ragwortstand.ids import (
@@ -286,17 +286,30 @@
         """Two crashes quarantine a request; one only makes it suspect."""
         record = CrashRecord()
         suspect, other = Fingerprint('p'), Fingerprint('o')
-        self.assertEqual(record.add([suspect, other], 0), ())
+        self.assertEqual(record.add(CrashReport((suspect, other)), 0), ())
         self.assertFalse(record.is_quarantined(suspect, 1))
         record.clear(other)
-        self.assertEqual(record.add([suspect], 2), (suspect,))
+        second = record.add(CrashReport((suspect,)), 2)
+        self.assertEqual(second, (suspect,))
         self.assertTrue(record.is_quarantined(suspect, 3))
         self.assertFalse(record.is_quarantined(other, 3))
 
+    def test_crash_while_a_suspect_runs(self) -> None:
+        """It makes other requests suspects and counts against none of them."""
+        record = CrashRecord()
+        suspect, other, popular = (Fingerprint(one) for one in 'pou')
+        record.add(CrashReport((suspect, popular)), 0)
+        report = CrashReport((suspect,), (other, popular))
+        for now_s in (1, 2):
+            record.add(report, now_s)
+        for one in (other, popular):
+            self.assertEqual(record.crashes(one, 3), 1)
+        self.assertTrue(record.is_quarantined(suspect, 3))
+
     def test_quarantine_ends(self) -> None:
         """A quarantine expires."""
         record = CrashRecord()
         suspect = Fingerprint('p')
-        record.add([suspect], 0)
-        record.add([suspect], 0)
+        record.add(CrashReport((suspect,)), 0)
+        record.add(CrashReport((suspect,)), 0)
         self.assertFalse(record.is_quarantined(suspect, 601))
--- a/tests/test_backend_server.py
+++ b/tests/test_backend_server.py
@@ -13,6 +13,7 @@
     BackendState,
 )
 from ragwortstand.backend_servers.connections import Endpoint
+from ragwortstand.backend_servers.crash_record import CrashReport
 from ragwortstand.calls import Call
 from ragwortstand.ids import Fingerprint, RequestId, ServiceName, Version
 from ragwortstand.models import Rank, Service
@@ -64,7 +65,7 @@
     def setUp(self) -> None:
         """Create a runner without an announced backend server."""
         self.server = BackendServer(_SETTINGS, ListLog())
-        self.reported: list[tuple[Fingerprint, ...]] = []
+        self.reported: list[CrashReport] = []
         self.server.crash_detector.on_crash = self._record_report
 
     async def test_response(self) -> None:
@@ -149,7 +150,8 @@
             calls.start_soon(run)
             await anyio.sleep(0.1)
         self.assertEqual(outcomes, [Unknown(Cause.CRASHED)])
-        self.assertEqual(self.reported, [(_call().fingerprint,)])
+        report = CrashReport((_call().fingerprint,))
+        self.assertEqual(self.reported, [report])
 
     async def test_lost_connection_is_no_crash(self) -> None:
         """A server that still accepts connections has not crashed."""
@@ -168,7 +170,8 @@
 
         self.server.crash_detector.on_clear = record_clear
         now_s = anyio.current_time()
-        self.server.crash_detector.record.add([_call().fingerprint], now_s)
+        report = CrashReport((_call().fingerprint,))
+        self.server.crash_detector.record.add(report, now_s)
         async with running_server(answering(OK, OK)) as endpoint:
             await self._announce(endpoint)
             for _ in range(2):
@@ -188,6 +191,28 @@
         self.assertEqual(refused, Refused(Cause.QUARANTINED, 600))
         self.assertEqual(other, Unknown(Cause.CONNECTION_LOST))
 
+    # A popular request was in flight in the crash that made it a suspect, and
+    # other copies of it in the next one, 12 ms later: it was quarantined.
+    async def test_crash_counts_against_the_suspect_that_runs(self) -> None:
+        popular, poison = _call('/popular'), _call('/poison')
+        record = self.server.crash_detector.record
+        both = CrashReport((popular.fingerprint, poison.fingerprint))
+        async with (
+            anyio.create_task_group() as calls,
+            running_server(_hang) as endpoint,
+        ):
+            await self._announce(endpoint)
+            calls.start_soon(self.server.run, popular)
+            await anyio.sleep(0.1)
+            record.add(both, anyio.current_time())
+            calls.start_soon(self.server.run, poison)
+            await anyio.sleep(0.1)
+        report = CrashReport((poison.fingerprint,), (popular.fingerprint,))
+        self.assertEqual(self.reported, [report])
+        now_s = anyio.current_time()
+        self.assertTrue(record.is_quarantined(poison.fingerprint, now_s))
+        self.assertFalse(record.is_quarantined(popular.fingerprint, now_s))
+
     async def _announce(
         self,
         endpoint: Endpoint,
@@ -207,5 +232,5 @@
         )
         await self.server.announce(announcement, anyio.current_time())
 
-    async def _record_report(self, suspects: tuple[Fingerprint, ...]) -> None:
-        self.reported.append(suspects)
+    async def _record_report(self, report: CrashReport) -> None:
+        self.reported.append(report)
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -8,7 +8,8 @@
 
 from ragwortstand.backend_servers import Announcement, BackendState
 from ragwortstand.backend_servers.connections import Endpoint
-from ragwortstand.ids import Fingerprint, ServiceName
+from ragwortstand.backend_servers.crash_record import CrashReport
+from ragwortstand.ids import ServiceName
 from ragwortstand.peers.members import Members
 from ragwortstand.published_server import PublishedServer
 from tests.fakes import SIDECAR_SETTINGS, member, sidecar_server
@@ -29,14 +30,16 @@
         self.reported = anyio.Event()
         self.server.crash_detector.on_crash = self._report
 
-    async def _report(self, suspects: tuple[Fingerprint, ...]) -> None:
+    async def _report(self, report: CrashReport) -> None:
         await self.reported.wait()
 
     async def _lose_a_connection(self) -> None:
         detector = self.server.crash_detector
-        await detector.cause_of_lost_connection(
-            new_call('r', 5.0), detector.in_flight, _accept
-        )
+        call = new_call('r', 5.0)
+        with detector.in_flight.track(call, is_suspect=False):
+            await detector.cause_of_lost_connection(
+                call, detector.in_flight, _accept
+            )
 
     async def _during_announcement_of_restart(
         self, action: Callable[[], Awaitable[None]]
