Run requests that were cleared while they waited at the same time

Suspects wait for a lock, so that one runs at a time. Requests that were cleared by the first one's response still ran one after the other: five that take 0.3 s took 1.5 s. They leave the lock now. The refusal of suspects moves to the crash detector, which knows all that decides it but the owner.

--- a/src/ragwortstand/backend_servers/crash_detector.py
+++ b/src/ragwortstand/backend_servers/crash_detector.py
@@ -19,11 +19,15 @@
 
 import anyio
 
-from ragwortstand.backend_servers.crash_record import CrashRecord, CrashReport
+from ragwortstand.backend_servers.crash_record import (
+    SUSPICION_S,
+    CrashRecord,
+    CrashReport,
+)
 from ragwortstand.calls import Call
 from ragwortstand.events import Event, EventLog
 from ragwortstand.ids import Fingerprint
-from ragwortstand.verdicts import Cause
+from ragwortstand.verdicts import Cause, Refused
 
 _RECENT_LOSS_S = 5.0
 _MAX_RECENT_LOSSES = 200
@@ -99,6 +103,27 @@
             return False
         return self.record.crashes(call.fingerprint, now_s) > 0
 
+    def refusal(
+        self,
+        call: Call,
+        is_owner: Callable[[Call], bool],
+        now_s: float,
+    ) -> Refused | None:
+        """Return the refusal of a request that must not run on this host.
+
+        :param call: the request.
+        :param is_owner: whether this host is the one that runs a suspect.
+        :param now_s: present time.
+        """
+        if not self.record:
+            return None
+        if self.record.is_quarantined(call.fingerprint, now_s):
+            return Refused(Cause.QUARANTINED, SUSPICION_S)
+        is_keyed = call.key is not None and not call.is_idempotent
+        if is_keyed or not self.is_suspect(call, now_s):
+            return None
+        return None if is_owner(call) else Refused(Cause.SUSPECT)
+
     async def cause_of_lost_connection(
         self,
         call: Call,
--- a/src/ragwortstand/backend_servers/server.py
+++ b/src/ragwortstand/backend_servers/server.py
@@ -26,7 +26,6 @@
     Connect,
 )
 from ragwortstand.backend_servers.crash_detector import CrashDetector
-from ragwortstand.backend_servers.crash_record import SUSPICION_S
 from ragwortstand.backend_servers.dialect import (
     BackendDialect,
     RagwortDialect,
@@ -295,18 +294,7 @@
             return Refused(Cause.BACKEND_SERVER_DOWN)
         if self.service != call.service.name:
             return Refused(Cause.NO_BACKEND_SERVER)
-        return self._crash_refusal(call)
-
-    def _crash_refusal(self, call: Call) -> Refused | None:
-        if not self.crash_detector.record:
-            return None
-        now_s = clock.now_s()
-        if self.crash_detector.record.is_quarantined(call.fingerprint, now_s):
-            return Refused(Cause.QUARANTINED, SUSPICION_S)
-        is_keyed = call.key is not None and not call.is_idempotent
-        if is_keyed or not self.crash_detector.is_suspect(call, clock.now_s()):
-            return None
-        return None if self.is_owner(call) else Refused(Cause.SUSPECT)
+        return self.crash_detector.refusal(call, self.is_owner, clock.now_s())
 
     async def _run_admitted(self, call: Call, claim: ClaimStep) -> Outcome:
         now_s = clock.now_s()
@@ -342,11 +330,20 @@
         refusal = ticket.refusal or self._rate_limiter.take(clock.now_s())
         if refusal:
             return refusal
-        if not self.crash_detector.is_suspect(call, clock.now_s()):
-            return await claim() or await self._send(call)
+        if self.crash_detector.is_suspect(call, clock.now_s()):
+            return await self._run_suspect(call, claim)
+        return await claim() or await self._send(call)
+
+    async def _run_suspect(self, call: Call, claim: ClaimStep) -> Outcome:
+        """Run a suspect alone, unless it is cleared while it waits."""
         async with self._suspect_lock:
-            declined = self._crash_refusal(call) or await claim()
-            return declined or await self._send(call)
+            now_s = clock.now_s()
+            refusal = self.crash_detector.refusal(call, self.is_owner, now_s)
+            if refusal:
+                return refusal
+            if self.crash_detector.is_suspect(call, now_s):
+                return await claim() or await self._send(call)
+        return await claim() or await self._send(call)
 
     async def _send(self, call: Call) -> Outcome:
         refusal = self._refusal(call)
--- a/tests/test_backend_server.py
+++ b/tests/test_backend_server.py
@@ -29,6 +29,8 @@
     '"platform":{"url":"http://127.0.0.1:1","region":"r"}}',
 )
 
+_LATE_S = 0.3
+
 
 async def _close_without_response(stream: SocketStream) -> None:
     """Receive a request and close the connection without a response."""
@@ -44,6 +46,15 @@
         await anyio.sleep_forever()
 
 
+async def _answer_late(stream: SocketStream) -> None:
+    """Receive requests and send each response after a delay."""
+    async with stream:
+        with contextlib.suppress(anyio.EndOfStream):
+            while await stream.receive():
+                await anyio.sleep(_LATE_S)
+                await stream.send(OK)
+
+
 def _call(target: str = '/a', timeout_s: float = 2.0) -> Call:
     return Call(
         request_id=RequestId('r'),
@@ -213,6 +224,21 @@
         self.assertTrue(record.is_quarantined(poison.fingerprint, now_s))
         self.assertFalse(record.is_quarantined(popular.fingerprint, now_s))
 
+    async def test_cleared_requests_run_at_the_same_time(self) -> None:
+        """They waited for each other only while they were suspects."""
+        now_s = anyio.current_time()
+        report = CrashReport((_call().fingerprint,))
+        self.server.crash_detector.record.add(report, now_s)
+        async with running_server(_answer_late) as endpoint:
+            await self._announce(endpoint)
+            with anyio.fail_after(4 * _LATE_S):
+                await self._run_at_once(5)
+
+    async def _run_at_once(self, count: int) -> None:
+        async with anyio.create_task_group() as calls:
+            for _ in range(count):
+                calls.start_soon(self.server.run, _call())
+
     async def _announce(
         self,
         endpoint: Endpoint,
