Record the time of a refusal that no retry follows in the model

The fleet model recorded the time until the first refusal only if the caller sent the request again, so a stream without retries reported no refusals, and the last one of the others was left out.

--- a/src/ragwortstand/tools/model/fleet.py
+++ b/src/ragwortstand/tools/model/fleet.py
@@ -340,8 +340,7 @@
     async def _send_with_retries(self, stream: Stream) -> tuple[Outcome, float]:
         """Send a request, and retry refusals as callers do.
 
-        Returns the last outcome and the time until the first refusal that was
-        retried.
+        Returns the last outcome and the time until the first refusal.
         """
         began_at_s = clock.now_s()
         until_s = began_at_s + stream.kind.deadline_s
@@ -349,10 +348,12 @@
         for retries_left in reversed(range(stream.max_retries + 1)):
             daemon = self.rng.choice(self._daemons_in(stream.zone))
             outcome = await daemon.send(stream.kind, until_s)
-            if not isinstance(outcome, Refused) or not retries_left:
+            if not isinstance(outcome, Refused):
                 break
             now_s = clock.now_s()
             refused_after_s = min(refused_after_s, now_s - began_at_s)
+            if not retries_left:
+                break
             spread = self.rng.uniform(1, _RETRY_DELAY_SPREAD)
             longest_s = (until_s - now_s) * _MAX_RETRY_DELAY_SHARE
             await anyio.sleep(min(outcome.retry_after_s * spread, longest_s))
--- a/src/ragwortstand/tools/model/plans.py
+++ b/src/ragwortstand/tools/model/plans.py
@@ -135,8 +135,8 @@
     :param taken_s: time until the last outcome.
     :param is_served: whether it got a successful response.
     :param is_in_goal: whether it was served within the target of its rank.
-    :param refused_after_s: time until the first refusal that was retried;
-        infinite without one.
+    :param refused_after_s: time until the first refusal; infinite without
+        one.
     """
 
     rank: str
--- a/tests/test_model_scenes.py
+++ b/tests/test_model_scenes.py
@@ -1,5 +1,6 @@
 """Tests of the policy against its baseline, in the fleet model."""
 
+import math
 import unittest
 from dataclasses import replace
 
@@ -93,6 +94,19 @@
         )
         self.assertGreater(returning.in_goal, 0.9 * without.in_goal)
 
+    def test_refusals_of_callers_that_do_not_return_are_recorded(self) -> None:
+        """The time to a refusal was recorded only if a retry followed."""
+        streams = tuple(
+            replace(stream, max_retries=0) for stream in self.scenario.streams
+        )
+        scenario = replace(self.scenario, streams=streams)
+        results = run_in_virtual_time(
+            FleetModel(scenario, sidecar_policy()).simulate
+        )
+        missed = [one for one in results if not one.is_served]
+        refused = [one for one in missed if math.isfinite(one.refused_after_s)]
+        self.assertGreater(len(refused), len(missed) / 2)
+
     def test_baseline_serves_late(self) -> None:
         """With first come, first served most requests miss the target."""
         found = _simulate(self.scenario, baseline_policy())['lookup']
