Do not count the redirect of a suspect as an attempt

A suspect that reaches a daemon which is not its owner is refused and sent on; each such refusal took one of its three attempts. Traced in poison.feature: for some milliseconds after a crash daemons disagree on the owner, and requests that were refused by three daemons in a row were given up (2 refused, 2 unknown of 340). Up to three redirects come on top of the attempts now, for the daemons of the product's own interface; the sidecar counts only what reached a server.

Before: test_sending_a_suspect_to_its_owner_is_no_attempt failed.

--- a/src/ragwortstand/calls.py
+++ b/src/ragwortstand/calls.py
@@ -29,6 +29,7 @@
     :param max_attempts: maximum number of backend servers that it is sent
         to; None leaves it to the retry policy.
     :param sends: number of backend servers that it was sent to.
+    :param redirects: refusals of daemons that left a suspect to another one.
     :param began_at_s: when the caller's request was read.
     :param attempt: 1 for the first attempt.
     :param is_dispatched: whether the first byte may have reached a backend
@@ -50,6 +51,7 @@
     goal_s: float | None = None
     max_attempts: int | None = None
     sends: int = 0
+    redirects: int = 0
     began_at_s: float = 0.0
     attempt: int = 1
     is_dispatched: bool = False
--- a/src/ragwortstand/peers/retries.py
+++ b/src/ragwortstand/peers/retries.py
@@ -29,6 +29,11 @@
 )
 
 
+# Attempts beyond the limit for a suspect that is sent on to its owner: daemons
+# disagree on the owner until all know of the server that crashed.
+_MAX_REDIRECTS = 3
+
+
 # Refusals after which another attempt is not counted as a retry: a suspect is
 # forwarded to its owner, and a rate-limited server has got nothing.
 _FREE_CAUSES = frozenset((Cause.RATE_LIMITED, Cause.SUSPECT))
@@ -69,6 +74,8 @@
             earned = budget.tokens + call.service.retry_share
             budget.tokens = min(_BURST, earned)
             return False
+        if outcome.cause is Cause.SUSPECT:
+            call.redirects += 1
         if not _may_repeat(call, outcome, now_s):
             return False
         if outcome.cause in _FREE_CAUSES:
@@ -101,6 +108,7 @@
     if isinstance(outcome, Answered) or outcome.cause in _FINAL_CAUSES:
         return False
     limit = min(call.max_attempts or MAX_ATTEMPTS, MAX_ATTEMPTS)
+    limit += min(call.redirects, _MAX_REDIRECTS)
     if call.attempt >= limit or not call.remaining_s(now_s):
         return False
     if call.key and not call.is_idempotent:
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -208,6 +208,29 @@
         allowed = [retries.allows(_call(), suspect, 0) for _ in range(100)]
         self.assertTrue(all(allowed))
 
+    # Daemons that disagreed on the owner for a moment used up the attempts.
+    def test_sending_a_suspect_to_its_owner_is_no_attempt(self) -> None:
+        retries = BudgetedRetries()
+        call = _call()
+        outcomes = [
+            Refused(Cause.SUSPECT),
+            Unknown(Cause.CRASHED),
+            Refused(Cause.SUSPECT),
+            Refused(Cause.SUSPECT),
+            Unknown(Cause.CRASHED),
+        ]
+        for outcome in outcomes:
+            self.assertTrue(retries.allows(call, outcome, 0))
+            call.attempt += 1
+        self.assertFalse(retries.allows(call, Unknown(Cause.CRASHED), 0))
+
+    def test_suspect_is_not_sent_around_for_ever(self) -> None:
+        retries = BudgetedRetries()
+        call = _call()
+        while retries.allows(call, Refused(Cause.SUSPECT), 0):
+            call.attempt += 1
+        self.assertEqual(call.attempt, 6)
+
     def test_naive_baseline_multiplies(self) -> None:
         """Without a budget every call is sent as often as allowed."""
         retries = NaiveRetries()
