Ask the owner of a suspect again until daemons agree on it

All daemons were asked within 10 ms, and the request was given up with time left. Not the limit of attempts alone: with redirects not counted it was the same.

The dispatcher pauses after such a refusal, 20 ms at first and twice as long each time, and may ask the same daemon again. It counts the redirects now, whichever retry policy is used.

--- a/src/ragwortstand/callers/dispatch.py
+++ b/src/ragwortstand/callers/dispatch.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable
 
+import anyio
+
 from ragwortstand import clock
 from ragwortstand.backend_servers import Load
 from ragwortstand.calls import Call
@@ -22,6 +24,9 @@
 )
 
 _NO_SERVER_RETRY_S = 1.0
+# Half of the pause after the first refusal by the owner of a suspect; it
+# doubles with each one. Peers hear of a server that is down within it.
+_OWNER_PAUSE_S = 0.01
 _CRASH_CAUSES = frozenset((Cause.CRASHED, Cause.SUSPECT))
 
 
@@ -77,11 +82,17 @@
                     Cause.NO_BACKEND_SERVER, _NO_SERVER_RETRY_S
                 )
             tried.add(member.host)
+            is_at_owner = call.is_suspect
             outcome = await self._attempt(call, member)
             last = _combined_outcome(last, outcome)
-            now_s = clock.now_s()
-            if not self._retries.allows(call, outcome, now_s):
+            is_redirect = _is_redirect(outcome)
+            call.redirects += is_redirect
+            if not self._retries.allows(call, outcome, clock.now_s()):
                 return last
+            if is_redirect and is_at_owner:
+                # The owner may not know yet that the one before it is down.
+                await anyio.sleep(_OWNER_PAUSE_S * 2**call.redirects)
+                tried.discard(member.host)
             call.attempt += 1
             if not isinstance(outcome, Answered):
                 call.is_suspect |= outcome.cause in _CRASH_CAUSES
@@ -160,6 +171,11 @@
         )
 
 
+def _is_redirect(outcome: Outcome) -> bool:
+    """Return whether a daemon left a suspect to its owner."""
+    return isinstance(outcome, Refused) and outcome.cause is Cause.SUSPECT
+
+
 def _combined_outcome(last: Outcome | None, outcome: Outcome) -> Outcome:
     """Return the outcome to report to the caller after another attempt.
 
--- a/src/ragwortstand/peers/retries.py
+++ b/src/ragwortstand/peers/retries.py
@@ -74,8 +74,6 @@
             earned = budget.tokens + call.service.retry_share
             budget.tokens = min(_BURST, earned)
             return False
-        if outcome.cause is Cause.SUSPECT:
-            call.redirects += 1
         if not _may_repeat(call, outcome, now_s):
             return False
         if outcome.cause in _FREE_CAUSES:
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -220,6 +220,7 @@
             Unknown(Cause.CRASHED),
         ]
         for outcome in outcomes:
+            call.redirects += outcome.cause is Cause.SUSPECT
             self.assertTrue(retries.allows(call, outcome, 0))
             call.attempt += 1
         self.assertFalse(retries.allows(call, Unknown(Cause.CRASHED), 0))
@@ -227,7 +228,9 @@
     def test_suspect_is_not_sent_around_for_ever(self) -> None:
         retries = BudgetedRetries()
         call = _call()
+        call.redirects = 1
         while retries.allows(call, Refused(Cause.SUSPECT), 0):
+            call.redirects += 1
             call.attempt += 1
         self.assertEqual(call.attempt, 6)
 
