--- a/src/ragwortstand/callers/dispatch.py
+++ b/src/ragwortstand/callers/dispatch.py
@@ -24,9 +24,9 @@
 )
 
 _NO_SERVER_RETRY_S = 1.0
-# Half of the pause after the first refusal by the owner of a suspect; it
-# doubles with each one. Peers hear of a server that is down within it.
-_OWNER_PAUSE_S = 0.01
+# Pauses after refusals by the owner of a suspect, the later ones longer; peers
+# hear of a server that is down within them.
+_OWNER_PAUSES_S = (0.02, 0.04, 0.08)
 _CRASH_CAUSES = frozenset((Cause.CRASHED, Cause.SUSPECT))
 
 
@@ -82,16 +82,16 @@
                     Cause.NO_BACKEND_SERVER, _NO_SERVER_RETRY_S
                 )
             tried.add(member.host)
-            is_at_owner = call.is_suspect
+            was_sent_to_owner = call.is_suspect
             outcome = await self._attempt(call, member)
             last = _combined_outcome(last, outcome)
             is_redirect = _is_redirect(outcome)
             call.redirects += is_redirect
             if not self._retries.allows(call, outcome, clock.now_s()):
                 return last
-            if is_redirect and is_at_owner:
+            if is_redirect and was_sent_to_owner:
                 # The owner may not know yet that the one before it is down.
-                await anyio.sleep(_OWNER_PAUSE_S * 2**call.redirects)
+                await anyio.sleep(_owner_pause_s(call, clock.now_s()))
                 tried.discard(member.host)
             call.attempt += 1
             if not isinstance(outcome, Answered):
@@ -176,6 +176,11 @@
     return isinstance(outcome, Refused) and outcome.cause is Cause.SUSPECT
 
 
+def _owner_pause_s(call: Call, now_s: float) -> float:
+    position = min(call.redirects, len(_OWNER_PAUSES_S)) - 1
+    return min(_OWNER_PAUSES_S[position], call.remaining_s(now_s))
+
+
 def _combined_outcome(last: Outcome | None, outcome: Outcome) -> Outcome:
     """Return the outcome to report to the caller after another attempt.
 
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -2,6 +2,8 @@
 
 from collections import deque
 
+import anyio
+
 from ragwortstand.authoring import Configuration, Rank, Route, Service
 from ragwortstand.backend_servers import BackendServer
 from ragwortstand.backend_servers.latency_objective_admission import (
@@ -9,7 +11,16 @@
 )
 from ragwortstand.events import Event
 from ragwortstand.exceptions import PlatformError
-from ragwortstand.ids import HostId, PeerAddress, RegionName, ZoneName
+from ragwortstand.ids import (
+    Digest,
+    HostId,
+    PeerAddress,
+    RegionName,
+    SubmissionId,
+    Version,
+    ZoneName,
+)
+from ragwortstand.models import digest_of
 from ragwortstand.peers.messages import Member, MemberState
 from ragwortstand.platform.headers import PlatformBackendDialect
 from ragwortstand.settings import (
@@ -17,6 +28,7 @@
     DaemonSettings,
     PlatformSettings,
 )
+from ragwortstand.storage import VersionRecord
 from ragwortstand.storage.table import Row, Transaction, TransactionResult
 from ragwortstand.tools.standin_platform import Table
 from ragwortstand.verdicts import Verdict
@@ -33,6 +45,8 @@
     ),
 )
 
+CONTENT = MESH.to_json().encode()
+
 SIDECAR_SETTINGS = DaemonSettings(
     cluster='c',
     host='h',
@@ -66,6 +80,34 @@
     )
 
 
+class FakeVersionSource:
+    """A source that has the configuration `MESH`; counts reads of the head."""
+
+    def __init__(self) -> None:
+        """Create a source with version 1."""
+        self.version = Version(1)
+        self.reads = 0
+
+    async def head(self) -> VersionRecord | None:
+        """Return the record of the version."""
+        self.reads += 1
+        return VersionRecord(
+            self.version, digest_of(CONTENT), SubmissionId('s'), 'o', 0.0
+        )
+
+    async def content(self, digest: Digest) -> bytes | None:
+        """Return the content of the version."""
+        return CONTENT
+
+    def is_cached(self, digest: Digest) -> bool:
+        """Return that `content` makes no call."""
+        return True
+
+    async def wait(self, is_reader: bool) -> None:
+        """Wait as long as a daemon that is no reader."""
+        await anyio.sleep(0.3)
+
+
 class FakePlatform:
     """Table service and object store in memory, with scripted faults.
 
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -8,10 +8,8 @@
 
 from ragwortstand.exceptions import PeerError
 from ragwortstand.ids import (
-    Digest,
     HostId,
     PeerAddress,
-    SubmissionId,
     Version,
 )
 from ragwortstand.metrics import Metrics
@@ -30,39 +28,20 @@
 )
 from ragwortstand.peers.version_sources import DistributionPolicy
 from ragwortstand.settings import MembershipSettings
-from ragwortstand.storage import VersionRecord
 from ragwortstand.tools.model import run_in_virtual_time
 from ragwortstand.verdicts import Verdict
 from ragwortstand.versions import OfferResult, VersionGate
-from tests.fakes import MESH, ListLog, member
+from tests.fakes import (
+    CONTENT,
+    MESH,
+    FakeVersionSource,
+    ListLog,
+    member,
+)
 
-_CONTENT = MESH.to_json().encode()
 _POLICY = DistributionPolicy(is_flat=True, join_wait_s=0)
 
 
-class _Store:
-    """A source with one version; counts reads."""
-
-    def __init__(self) -> None:
-        self.version = Version(1)
-        self.reads = 0
-
-    async def head(self) -> VersionRecord | None:
-        self.reads += 1
-        return VersionRecord(
-            self.version, digest_of(_CONTENT), SubmissionId('s'), 'o', 0.0
-        )
-
-    async def content(self, digest: Digest) -> bytes | None:
-        return _CONTENT
-
-    def is_cached(self, digest: Digest) -> bool:
-        return True
-
-    async def wait(self, is_reader: bool) -> None:
-        await anyio.sleep(0.3)
-
-
 class _NoLinks:
     """Links over which no peer is reachable."""
 
@@ -83,7 +62,7 @@
 
     def setUp(self) -> None:
         """Create two readers that reach the store better."""
-        self.store = _Store()
+        self.store = FakeVersionSource()
         self.gate = VersionGate()
         own = replace(member('own'), store_reach=1)
         self.members = Members(own, MembershipSettings(), 0.0)
@@ -189,7 +168,7 @@
         members = Members(member('own'), MembershipSettings(), 0.0)
         self.distributor = Distributor(
             self.gate,
-            _Store(),
+            FakeVersionSource(),
             members,
             _NoLinks(),
             _POLICY,
@@ -268,7 +247,7 @@
         """Create a peer that has version 2."""
         self.holder_gate = VersionGate()
         self.holder = self._distributor(self.holder_gate, _NoLinks())
-        self.holder_gate.offer(Version(2), digest_of(_CONTENT), _CONTENT)
+        self.holder_gate.offer(Version(2), digest_of(CONTENT), CONTENT)
         self.gate = VersionGate()
 
     def _distributor(self, gate: VersionGate, links: _NoLinks) -> Distributor:
@@ -276,7 +255,7 @@
         members.merge([member('a'), member('b')], 0.0)
         return Distributor(
             gate,
-            _Store(),
+            FakeVersionSource(),
             members,
             links,
             _POLICY,
--- a/tests/test_partitions.py
+++ b/tests/test_partitions.py
@@ -8,14 +8,11 @@
 
 from ragwortstand.exceptions import PeerError
 from ragwortstand.ids import (
-    Digest,
     HostId,
     PeerAddress,
-    SubmissionId,
     Version,
 )
 from ragwortstand.metrics import Metrics
-from ragwortstand.models import digest_of
 from ragwortstand.peers.distribution import Distributor
 from ragwortstand.peers.gossip import Gossip
 from ragwortstand.peers.key_owners import KeyOwners
@@ -33,13 +30,11 @@
 from ragwortstand.peers.reply_record import ReplyRecord
 from ragwortstand.peers.version_sources import DistributionPolicy
 from ragwortstand.settings import MembershipSettings
-from ragwortstand.storage import VersionRecord
 from ragwortstand.tools.model import run_in_virtual_time
 from ragwortstand.verdicts import Verdict
 from ragwortstand.versions import VersionGate
-from tests.fakes import MESH, ListLog, member
+from tests.fakes import FakeVersionSource, ListLog, member
 
-_CONTENT = MESH.to_json().encode()
 _POLICY = DistributionPolicy(
     fanout=8, far_fanout=3, is_flat=True, standby_delay_s=0, join_wait_s=0
 )
@@ -55,29 +50,6 @@
 _IN_FORCE_WITHIN_S = 3.0
 
 
-class _Store:
-    """The newest version, as one daemon reads it; every daemon reaches it."""
-
-    def __init__(self) -> None:
-        self.version = Version(1)
-        self.reads = 0
-
-    async def head(self) -> VersionRecord | None:
-        self.reads += 1
-        return VersionRecord(
-            self.version, digest_of(_CONTENT), SubmissionId('s'), 'o', 0.0
-        )
-
-    async def content(self, digest: Digest) -> bytes | None:
-        return _CONTENT
-
-    def is_cached(self, digest: Digest) -> bool:
-        return True
-
-    async def wait(self, is_reader: bool) -> None:
-        await anyio.sleep(_POLL_S)
-
-
 class _Daemon:
     """What a daemon does to learn of versions."""
 
@@ -90,7 +62,7 @@
         self.members.merge(known, 0.0)
         for one in known:
             self.members.drop_update(one.host)
-        self.store = _Store()
+        self.store = FakeVersionSource()
         self.gate = VersionGate()
         self.distributor = Distributor(
             self.gate,
