Enforce the announced limit of connections in the backend server stand-in

The stand-in announced how many connections it takes and took any number, so a daemon that opened more would not have been noticed by a scenario. Requests over further connections get 503 now; four connections are left for the scenarios themselves.

--- a/src/ragwortstand/tools/standin_cli.py
+++ b/src/ragwortstand/tools/standin_cli.py
@@ -26,6 +26,8 @@
 from ragwortstand.uvicorn_server import create_uvicorn_server
 
 _LOOPBACK = '127.0.0.1'
+# Connections of tests to a backend server, beside those of its daemon.
+_ADMIN_CONNECTIONS = 4
 
 
 def main(arguments: Sequence[str] | None = None) -> int:
@@ -84,7 +86,11 @@
                     standin.announce, options.announce, _LOOPBACK, announced
                 )
             _print_ports(port=port)
-            await create_uvicorn_server(standin).serve([listener])
+            server = create_uvicorn_server(
+                standin,
+                max_connections=options.connections + _ADMIN_CONNECTIONS,
+            )
+            await server.serve([listener])
 
 
 async def _run_link(options: argparse.Namespace) -> None:
--- a/src/ragwortstand/uvicorn_server.py
+++ b/src/ragwortstand/uvicorn_server.py
@@ -26,11 +26,14 @@
     app: Any,
     *,
     keep_alive_s: int = _KEEP_ALIVE_S,
+    max_connections: int | None = None,
 ) -> UvicornServer:
     """Return a server for an ASGI application.
 
     :param app: the application.
     :param keep_alive_s: time after which an idle connection is closed.
+    :param max_connections: open connections beyond which requests get 503;
+        None for no limit.
     """
     config = uvicorn.Config(
         app,
@@ -45,5 +48,7 @@
         ws='none',
         backlog=_BACKLOG,
         timeout_keep_alive=keep_alive_s,
+        # The limit of uvicorn is the first number that is refused.
+        limit_concurrency=max_connections and max_connections + 1,
     )
     return UvicornServer(config)
