Share what tests allow a server with a rate limit, and name such servers alike

Two modules had the same window and tolerance; they are in tests/rate_limits.py now, with the same values. Texts say "overloaded" for a server that names a limit. No behaviour changed.

--- a/src/ragwortstand/backend_servers/rate_limiter.py
+++ b/src/ragwortstand/backend_servers/rate_limiter.py
@@ -1,9 +1,9 @@
 """ragwortstand.backend_servers.rate_limiter: a token bucket.
 
-A backend server in need names the requests per second that it takes from all
-hosts together. All of them go through the daemon on its host, so this daemon
-alone keeps the sum to that rate, whichever other daemons join, restart or are
-cut off.
+An overloaded backend server names the requests per second that it takes from
+all hosts together. All of them go through the daemon on its host, so this
+daemon alone keeps the sum to that rate, whichever other daemons join, restart
+or are cut off.
 """
 
 from collections.abc import Iterable
--- a/tests/test_rate_limited_servers.py
+++ b/tests/test_rate_limited_servers.py
@@ -1,4 +1,4 @@
-"""Backend servers in need name fewer requests a second than they get."""
+"""Overloaded backend servers name fewer requests a second than they get."""
 
 import random
 import unittest
@@ -38,15 +38,12 @@
 from ragwortstand.verdicts import Cause, Refused
 from tests.fakes import member, sidecar_server
 from tests.forwarded import new_call
+from tests.rate_limits import allowed_in_window, most_in_window
 from tests.servers import answering, running_server
 from tests.test_in_band_signals import announcement, response
 
 _URGENT = Rank(name='urgent', target_s=0.25)
 _BULK = Rank(name='bulk', target_s=1.0)
-# What the users allow in a window, beyond the limit itself.
-_WINDOW_S = 4.0
-_TOLERANCE = 1.5
-_TOLERATED_REQUESTS = 5
 _ZONES = tuple(
     (f'r{number % 3}-{number % 6}', f'r{number % 3}') for number in range(6)
 )
@@ -58,20 +55,6 @@
 _NOTICE_S = 0.5
 
 
-def _most_in_window(times_s: list[float]) -> int:
-    return max(
-        (
-            sum(start_s <= at_s < start_s + _WINDOW_S for at_s in times_s)
-            for start_s in times_s
-        ),
-        default=0,
-    )
-
-
-def _allowed(limit_per_s: float) -> float:
-    return limit_per_s * _WINDOW_S * _TOLERANCE + _TOLERATED_REQUESTS
-
-
 def _new_choice() -> LatencyObjectiveChoice:
     return LatencyObjectiveChoice(
         Locality(HostId('own'), ZoneName('a1'), RegionName('a')),
@@ -111,7 +94,9 @@
             sent_s.extend(
                 now_s for _ in range(50) if self._send(_URGENT, now_s)
             )
-        self.assertLessEqual(_most_in_window(sent_s), _allowed(limit_per_s))
+        self.assertLessEqual(
+            most_in_window(sent_s), allowed_in_window(limit_per_s)
+        )
 
     def test_the_whole_rate_is_used(self) -> None:
         for rank in (_URGENT, _BULK):
@@ -301,7 +286,7 @@
                 if at_s > _LIMITED_FROM_S + _NOTICE_S
             ]
             self.assertLessEqual(
-                _most_in_window(counted_s), _allowed(self.limit_per_s)
+                most_in_window(counted_s), allowed_in_window(self.limit_per_s)
             )
             spent_s = _UNTIL_S - _LIMITED_FROM_S - _NOTICE_S
             self.assertGreater(len(counted_s), self.limit_per_s * spent_s * 0.8)
--- a/tests/test_server_rate_limit.py
+++ b/tests/test_server_rate_limit.py
@@ -10,14 +10,11 @@
     SimulatedBackendServer,
     running_fleet,
 )
+from tests.rate_limits import allowed_in_window, most_in_window
 from tests.test_platform_configuration import row_of
 from tests.test_platform_path import wait_until_serving
 
 _LIMIT_PER_S = 20.0
-_WINDOW_S = 4.0
-# What the users allow in a window, beyond the limit itself.
-_TOLERANCE = 1.5
-_TOLERATED_REQUESTS = 5
 _PATH = '/lepu/2f'
 _SERVICES = ['huvo', 'huvo', 'kafi']
 _RATE_PER_S = 100
@@ -55,16 +52,6 @@
                 body = answered.body if answered else b''
 
 
-def _most_in_window(times_s: list[float]) -> int:
-    return max(
-        (
-            sum(start_s <= at_s < start_s + _WINDOW_S for at_s in times_s)
-            for start_s in times_s
-        ),
-        default=0,
-    )
-
-
 class FleetTests(unittest.IsolatedAsyncioTestCase):
     """Requests of all hosts to a server with a limit."""
 
@@ -115,5 +102,5 @@
             for request in server.seen
             if request.arrived_at_s > named_at_s + _NOTICE_S
         ]
-        allowed = limit_per_s * _WINDOW_S * _TOLERANCE + _TOLERATED_REQUESTS
-        self.assertLessEqual(_most_in_window(arrivals_s), allowed)
+        allowed = allowed_in_window(limit_per_s)
+        self.assertLessEqual(most_in_window(arrivals_s), allowed)
