Use the daemon's handlers and its random choice in two tests

The model of partitions repeated the dispatch of messages that PeerHandlers has, and the test of suspects a choice without statistics, as RandomChoice is; both use the product's classes now, with the same assertions. No behaviour changed.

Without the count of replies the partition test fails as before.

--- a/src/ragwortstand/backend_servers/crash_detector.py
+++ b/src/ragwortstand/backend_servers/crash_detector.py
@@ -10,7 +10,6 @@
     Awaitable,
     Callable,
     Collection,
-    Iterable,
     Iterator,
 )
 from contextlib import contextmanager
@@ -170,8 +169,8 @@
         self.record.clear(fingerprint)
         await self.on_clear(fingerprint)
 
-    async def _record_crash(self, in_flight: Iterable[SentRequest]) -> None:
-        report = _report_of(tuple(in_flight))
+    async def _record_crash(self, in_flight: Collection[SentRequest]) -> None:
+        report = _report_of(in_flight)
         quarantined = self.record.add(report, anyio.current_time())
         self._log.emit(
             Event.CRASH_SUSPECTS,
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -46,6 +46,7 @@
 )
 
 CONTENT = MESH.to_json().encode()
+POLL_S = 0.3
 
 SIDECAR_SETTINGS = DaemonSettings(
     cluster='c',
@@ -105,7 +106,7 @@
 
     async def wait(self, is_reader: bool) -> None:
         """Wait as long as a daemon that is no reader."""
-        await anyio.sleep(0.3)
+        await anyio.sleep(POLL_S)
 
 
 class FakePlatform:
--- a/tests/test_partitions.py
+++ b/tests/test_partitions.py
@@ -3,9 +3,11 @@
 import random
 import unittest
 from collections import Counter
+from typing import Any, cast
 
 import anyio
 
+from ragwortstand.backend_servers.crash_record import CrashRecord
 from ragwortstand.exceptions import PeerError
 from ragwortstand.ids import (
     HostId,
@@ -15,32 +17,23 @@
 from ragwortstand.metrics import Metrics
 from ragwortstand.peers.distribution import Distributor
 from ragwortstand.peers.gossip import Gossip
+from ragwortstand.peers.handlers import PeerHandlers
 from ragwortstand.peers.key_owners import KeyOwners
 from ragwortstand.peers.members import Members
-from ragwortstand.peers.messages import (
-    Done,
-    FetchVersion,
-    IndirectPing,
-    Member,
-    OfferVersion,
-    Ping,
-    Reply,
-    Request,
-)
+from ragwortstand.peers.messages import Member, Reply, Request
 from ragwortstand.peers.reply_record import ReplyRecord
 from ragwortstand.peers.version_sources import DistributionPolicy
 from ragwortstand.settings import MembershipSettings
 from ragwortstand.tools.model import run_in_virtual_time
 from ragwortstand.verdicts import Verdict
 from ragwortstand.versions import VersionGate
-from tests.fakes import FakeVersionSource, ListLog, member
+from tests.fakes import POLL_S, FakeVersionSource, ListLog, member
 
 _POLICY = DistributionPolicy(
     fanout=8, far_fanout=3, is_flat=True, standby_delay_s=0, join_wait_s=0
 )
 # A change of the member list is sent to all members directly.
 _SETTINGS = MembershipSettings(news_fanout=100, news_repeats=2, difference_s=2)
-_POLL_S = 0.3
 _ONE_WAY_S = 0.002
 _ZONES = 6
 _STARTED_S = 4.0
@@ -83,19 +76,14 @@
             self.distributor.on_peer_version,
             rng,
         )
-
-    async def handle(self, sender: HostId, request: Request) -> Reply:
-        match request:
-            case Ping():
-                return self.gossip.on_ping(sender, request)
-            case IndirectPing():
-                return await self.gossip.on_indirect_ping(request)
-            case FetchVersion():
-                return self.distributor.on_fetch(request)
-            case OfferVersion():
-                address = member(sender).peer_address
-                self.distributor.on_peer_version(request.version, address)
-        return Done()
+        self.handlers = PeerHandlers(
+            self.gossip,
+            self.distributor,
+            cast(Any, None),
+            cast(Any, None),
+            self.members,
+            CrashRecord(),
+        )
 
 
 class _Links:
@@ -115,7 +103,7 @@
             raise PeerError('silent', Verdict.MAY_HAVE_RUN)
         try:
             with anyio.fail_after(timeout_s):
-                reply = await peer.handle(self._own, request)
+                reply = await peer.handlers.handle(self._own, request)
                 await anyio.sleep(_ONE_WAY_S)
         except TimeoutError:
             raise PeerError('too late', Verdict.MAY_HAVE_RUN) from None
@@ -215,7 +203,7 @@
             larger = {one.members.own.host for one in fleet.daemons}
             larger -= fleet.minority
             # Two readers poll without a pause; each daemon has read once.
-            of_readers = 2 * (_STARTED_S + _IN_FORCE_WITHIN_S) / _POLL_S
+            of_readers = 2 * (_STARTED_S + _IN_FORCE_WITHIN_S) / POLL_S
             reads = fleet.reads(larger)
             self.assertLess(reads, 2 * len(larger) + of_readers, seed)
 
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -1,5 +1,6 @@
 """Requests that were in flight in a crash are sent to their owner."""
 
+import random
 import unittest
 
 import anyio
@@ -7,10 +8,9 @@
 from ragwortstand.backend_servers import Load
 from ragwortstand.callers.dispatch import Dispatcher
 from ragwortstand.calls import Call
-from ragwortstand.events import EventLog
 from ragwortstand.ids import HostId
 from ragwortstand.metrics import Metrics
-from ragwortstand.peers.choice import Choice
+from ragwortstand.peers.choice import RandomChoice
 from ragwortstand.peers.forwarding import AttemptResult
 from ragwortstand.peers.key_owners import KeyOwners
 from ragwortstand.peers.members import Members
@@ -27,19 +27,6 @@
 _NAMES = ('h1', 'h2', 'h3')
 
 
-class _Choice:
-    """Accepts the statistics of attempts."""
-
-    def record_start(self, *details: object) -> None:
-        """Ignore the start of an attempt."""
-
-    def record_outcome(self, *details: object) -> None:
-        """Ignore the outcome of an attempt."""
-
-    def record_size(self, *details: object) -> None:
-        """Ignore the size of a response."""
-
-
 class _Peers:
     """Daemons that each leave a suspect to another one until they agree."""
 
@@ -63,18 +50,16 @@
         members = Members(own, MembershipSettings(), 0.0)
         members.merge([member(name, service=_SERVICE) for name in _NAMES], 0.0)
         self.peers = _Peers()
-        choice: Choice = _Choice()  # type: ignore[assignment]
-        log: EventLog = ListLog()
         self.dispatcher = Dispatcher(
             members,
-            choice,
+            RandomChoice(random.Random(1)),
             BudgetedRetries(),
             KeyOwners(members, 60),
             self.peers,  # type: ignore[arg-type]
             lambda now_s: Load(4, 1, 0),
             self.peers,  # type: ignore[arg-type]
             Metrics(),
-            log,
+            ListLog(),
         )
 
     def _dispatched(self, budget_s: float) -> Outcome:
