Review case 5: uploads within the operator's limit exceed the memory of a machine

Cause: bodies of requests are held whole, in several copies, and nothing limits what all requests hold together. maxBodyBytes is 64 MiB, memoryMb is 300.

--- a/review/lib/mesh.py
+++ b/review/lib/mesh.py
@@ -467,6 +467,7 @@
         # Starts of sidecars and signals to them.
         self.touched: list[tuple[str, float]] = []
         self.hosts: list[Host] = []
+        self.max_body_bytes = 1048576
         self._tasks: set[asyncio.Task] = set()
         self._temporary = tempfile.TemporaryDirectory()
         pid = os.getpid()
@@ -498,7 +499,8 @@
         names = ('inbound', 'outbound', 'ready', 'control', 'app')
         self._ports = dict(zip(names, free_ports(len(names)), strict=True))
         self.store = Store(f'{self._network}.1')
-        self.store.put('op', 'config', configuration(1, services, routes))
+        document = configuration(1, services, routes, self.max_body_bytes)
+        self.store.put('op', 'config', document)
 
     async def add_host(self, name: str, zone: str, service: str) -> Host:
         """Create a machine; its processes are not started yet."""
@@ -676,7 +678,10 @@
 
 
 def configuration(
-    version: int, services: list[str], routes: list[dict]
+    version: int,
+    services: list[str],
+    routes: list[dict],
+    max_body_bytes: int = 1048576,
 ) -> bytes:
     """Return the operator's row."""
     columns = [
@@ -696,7 +701,7 @@
             },
             'limits': {
                 'maxHeaderBytes': 16384,
-                'maxBodyBytes': 1048576,
+                'maxBodyBytes': max_body_bytes,
                 'headerTimeoutMs': 3000,
                 'idleTimeoutMs': 10000,
             },
