--- a/review/3/case.py
+++ b/review/3/case.py
@@ -22,9 +22,9 @@
 ]
 # Delay of the late heartbeat, and time for which the worker still serves, from
 # the confirmation on.
-HEARTBEAT_LATE_S = 6.0
-SERVES_S = 10.5
-DOWN_S = 1.0
+HEARTBEAT_LATE_S = 2.5
+SERVES_S = 7.5
+DOWN_S = 0.9
 
 
 async def send_filings(mesh: Mesh, callers, results: dict[str, int]) -> None:
@@ -75,7 +75,7 @@
         raise SetupError('the deregistration is not confirmed')
     left_s = mesh.record.now()
     mesh.record(f'{worker.instance} has deregistered, confirmed')
-    await asyncio.sleep(0.5)
+    await asyncio.sleep(0.3)
     if TROUBLE:
         await kill_all(mesh)
     await asyncio.sleep(left_s + HEARTBEAT_LATE_S - mesh.record.now())
