--- a/review/lib/mesh.py
+++ b/review/lib/mesh.py
@@ -12,6 +12,7 @@
 import os
 import pathlib
 import random
+import shutil
 import signal
 import socket
 import sys
@@ -598,8 +599,6 @@
             if host.process:
                 await host.process.wait()
         if os.environ.get('KEEP_LOGS'):
-            import shutil
-
             shutil.copytree(
                 self._temporary.name, os.environ['KEEP_LOGS'], dirs_exist_ok=True
             )
