--- a/review/3/case.py
+++ b/review/3/case.py
@@ -6,7 +6,7 @@
 import sys
 
 FOLDER = pathlib.Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent / 'lib'))
+sys.path.insert(0, str(FOLDER.parent))
 
 from mesh import BOUNDS, TROUBLE, Mesh, SetupError, main  # noqa: E402
 
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -5,7 +5,7 @@
 import sys
 
 FOLDER = pathlib.Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent / 'lib'))
+sys.path.insert(0, str(FOLDER.parent))
 
 from mesh import (  # noqa: E402
     BOUNDS,
--- a/review/lib/mesh.py
+++ b/review/mesh.py
@@ -21,7 +21,7 @@
 from dataclasses import dataclass
 from urllib.parse import parse_qsl
 
-ROOT = pathlib.Path(__file__).resolve().parents[2]
+ROOT = pathlib.Path(__file__).resolve().parents[1]
 TROUBLE = os.environ.get('TROUBLE', '1') != '0'
 LIMIT_S = 115.0
 BOUNDS = {
