--- a/review/standins2.py
+++ b/review/standins2.py
@@ -102,11 +102,29 @@
         self.rows = {}
         self.changes = []
         self.is_down = False
+        self._writers = set()
         self._changed = asyncio.Event()
 
     async def start(self):
-        self._server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
-        self.address = '127.0.0.1:%d' % self._server.sockets[0].getsockname()[1]
+        self.address, self._server = await self._listen()
+
+    async def _listen(self):
+        server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
+        return '127.0.0.1:%d' % server.sockets[0].getsockname()[1], server
+
+    async def add_address(self):
+        """Serve at a further address from now on; `address` is the new one."""
+        previous = self._server
+        self.address, self._server = await self._listen()
+        return previous
+
+    def close_address(self, server):
+        """Stop serving at an earlier address, also on open connections."""
+        port = server.sockets[0].getsockname()[1]
+        server.close()
+        for writer in tuple(self._writers):
+            if writer.get_extra_info('sockname')[1] == port:
+                writer.close()
 
     def put(self, table, key, content):
         self.version += 1
@@ -125,6 +143,7 @@
         self._changed = asyncio.Event()
 
     async def _serve(self, reader, writer):
+        self._writers.add(writer)
         try:
             while message := await read_message(reader):
                 first, _, body = message
@@ -142,6 +161,7 @@
         except ConnectionError:
             pass
         finally:
+            self._writers.discard(writer)
             writer.close()
 
     async def _dispatch(self, path, query, body):
