--- a/review/6/case.py
+++ b/review/6/case.py
@@ -7,7 +7,7 @@
 
 GRACE_S = 6.0
 LOSS_SLACK_S = 0.2
-GOAL_MS, TIMEOUT_MS, BUDGET_MS = 5011, 15000, 15032
+GOAL_MS, TIMEOUT_MS, BUDGET_MS = 5000, 8000, 15000
 WORK_S, SLOTS = 0.84, 9
 PER_S = 32
 ROUTES = [('/exports/', 'idempotent', 'export', TIMEOUT_MS, GOAL_MS)]
