--- a/review/standins2.py
+++ b/review/standins2.py
@@ -530,10 +530,13 @@
 
 
 def main(case):
-    """Run a case: a coroutine function of fleet, record and trouble."""
+    """Run a case: a coroutine function of fleet, record and trouble.
+
+    The first argument is 0 for a run without the disruption.
+    """
     folder = pathlib.Path(sys.argv[0]).resolve().parent
     record = Record(folder / 'record.txt')
-    trouble = os.environ.get('TROUBLE', '1') != '0'
+    trouble = sys.argv[1] != '0'
     record(f'trouble={int(trouble)}')
 
     async def run():
