Answer requests that wait for a slot before a planned stop ends

Requests of other daemons in the queue beside a daemon that exits got 502 though they had never run, and responses that were ready behind a waiting request on the same connection were never sent.

Cause: the stop refuses new requests in time, but nothing compared the time that an accepted request still waits with the exit. GracefulStop returned at the end of the grace period whatever was in flight, and the connections were closed. In a run on the untouched code the log of a lost request says `abandoned`, `ended_by` stop, 4.05 s after it was read, with 3.95 s of its deadline left; no backend server had it. Ruled out: the backend servers (none had the request), the deadline, and the refusals of new requests, which came in time. `ragwortd` waits for its last request without an end and is not concerned.

Change: each request carries the time by which it must finish, shared with its ticket. A daemon that stops sets it for its callers' requests, sends it with work that it forwards, and tells the daemons that run its requests (LimitWork) when the stop begins, once a second, and last half a second before the exit. Whoever holds the queue refuses at once what would not finish in time, by its place in the queue and the service time of its rank; it does the same for its own exit. Callers that are still without a response shortly before the exit get one: 503 if theirs can't have run, 502 otherwise, so that ready responses behind it are sent. Refusals name the time until callers are routed to other hosts.

--- a/src/ragwortstand/backend_servers/admission.py
+++ b/src/ragwortstand/backend_servers/admission.py
@@ -2,12 +2,13 @@
 
 import math
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 from typing import Protocol
 
 import anyio
 
+from ragwortstand.calls import FinishLimit
 from ragwortstand.models import Rank
 from ragwortstand.verdicts import Cause, Refused
 
@@ -28,6 +29,7 @@
     :param goal_s: latency objective: when the response loses most of its value.
     :param deadline_s: when the response has no value any more.
     :param refusal: why it was removed from the queue; None if it was not.
+    :param limit: when the request must have finished because a daemon exits.
     """
 
     rank: str
@@ -36,6 +38,15 @@
     goal_s: float = math.inf
     deadline_s: float = math.inf
     refusal: Refused | None = None
+    limit: FinishLimit = field(default_factory=FinishLimit)
+
+    def refuse(self, refusal: Refused) -> None:
+        """Refuse the request, which waits for a slot.
+
+        :param refusal: why.
+        """
+        self.refusal = refusal
+        self.granted.set()
 
 
 @dataclass(frozen=True, slots=True)
@@ -104,6 +115,12 @@
     def load(self, now_s: float) -> Load:
         """Return the load of the backend server."""
 
+    def service_s(self, rank: str, now_s: float) -> float:
+        """Return the mean service time of a rank; 0 means unknown."""
+
+    def waiting(self) -> Iterator[Ticket]:
+        """Return the requests that wait, those first that are served first."""
+
 
 class ShareAdmission:
     """Guarantees shares by rank and lends unused shares by urgency.
@@ -211,6 +228,19 @@
         queued = sum(len(state.queue) for state in self._rank_states.values())
         return Load(self._usable_slots(now_s), self._in_use, queued)
 
+    def service_s(self, rank: str, now_s: float) -> float:
+        """Return the mean service time of a rank; 0 means unknown.
+
+        :param rank: name of the rank.
+        :param now_s: not used; only completed requests count.
+        """
+        return self._rank_state(rank).mean_service_s
+
+    def waiting(self) -> Iterator[Ticket]:
+        """Return the requests that wait, by the urgency of their ranks."""
+        for state in self._rank_states.values():
+            yield from state.queue
+
     def _rank_state(self, rank: str) -> _RankState:
         state = self._rank_states.get(rank)
         if state is None:
@@ -306,6 +336,10 @@
             self._arrivals.remove(ticket)
         super().leave(ticket, now_s, has_run=has_run)
 
+    def waiting(self) -> Iterator[Ticket]:
+        """Return the requests that wait, in the order of their arrival."""
+        yield from self._arrivals
+
     def _next_rank_state(self, usable: int) -> _RankState | None:
         while self._arrivals:
             state = self._rank_states[self._arrivals.popleft().rank]
--- a/src/ragwortstand/backend_servers/latency_objective_admission.py
+++ b/src/ragwortstand/backend_servers/latency_objective_admission.py
@@ -8,7 +8,7 @@
 
 import math
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 
 from ragwortstand.backend_servers.admission import Load, Ticket
@@ -171,6 +171,19 @@
             self._busiest_service_s(now_s),
         )
 
+    def service_s(self, rank: str, now_s: float) -> float:
+        """Return the expected service time of a rank.
+
+        :param rank: name of the rank.
+        :param now_s: present time.
+        """
+        return self._rank_state(rank).service_s(now_s)
+
+    def waiting(self) -> Iterator[Ticket]:
+        """Return the requests that wait, by the urgency of their ranks."""
+        for state in sorted(self._rank_states.values(), key=_by_order):
+            yield from state.queue
+
     def _busiest_service_s(self, now_s: float) -> float:
         """Return the service time of the rank that uses most slots."""
         busiest: _RankState | None = None
@@ -230,8 +243,7 @@
                 late_s = now_s + service_s - ticket.goal_s
                 if late_s <= 0 or not any(one.queue for one in states):
                     return ticket
-                ticket.refusal = _refusal(self._wait_s(state, now_s))
-                ticket.granted.set()
+                ticket.refuse(_refusal(self._wait_s(state, now_s)))
         return None
 
 
--- a/src/ragwortstand/backend_servers/server.py
+++ b/src/ragwortstand/backend_servers/server.py
@@ -33,6 +33,7 @@
     BackendDialect,
     RagwortDialect,
 )
+from ragwortstand.backend_servers.exit_refusals import ExitRefusals
 from ragwortstand.backend_servers.httptools_client import HttptoolsConnection
 from ragwortstand.backend_servers.in_band_signals import InBandSignals
 from ragwortstand.backend_servers.rate_limiter import ServerRateLimit
@@ -78,6 +79,7 @@
         of httptools, whose responses share the memory limit of the settings.
     :param metrics: counts the requests sent; None counts them nowhere.
     :ivar departures: the servers that have left.
+    :ivar exit_refusals: refuses requests that a daemon's exit would cut off.
     :ivar on_change: called when the state, the service, the number of slots
         or the last departure has changed.
     """
@@ -95,6 +97,7 @@
         self._settings = settings.backend_server
         self._log = log
         self._admission = admission or _admission_for(settings)
+        self.exit_refusals = ExitRefusals(self._admission)
         self._metrics = (metrics or Metrics()).backend_server
         self.departures = Departures()
         self._filter = AnnouncementFilter(
@@ -308,6 +311,7 @@
         )
         if isinstance(ticket, Refused):
             return ticket
+        self.exit_refusals.on_enter(call, ticket, now_s)
         has_run = True
         try:
             outcome = await self._run_with_ticket(call, ticket, claim)
@@ -344,8 +348,9 @@
         return await claim() or await self._send(call)
 
     async def _send(self, call: Call) -> Outcome:
-        refusal = self._refusal(call)
-        if not call.remaining_s(clock.now_s()):
+        now_s = clock.now_s()
+        refusal = self._refusal(call) or self.exit_refusals.refusal(call, now_s)
+        if not call.remaining_s(now_s):
             # A daemon that was paused continues here after the deadline.
             return Refused(Cause.DEADLINE)
         if refusal or self.announcement is None:
--- a/src/ragwortstand/callers/proxy.py
+++ b/src/ragwortstand/callers/proxy.py
@@ -6,8 +6,9 @@
 """
 
 import asyncio
+import math
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from types import MappingProxyType
 from typing import Protocol
 from uuid import uuid4
@@ -16,7 +17,7 @@
 from ragwortstand.callers.dispatch import Dispatcher
 from ragwortstand.callers.wait_estimator import CallerWaitEstimator
 from ragwortstand.callers.weighted_targets import WeightedTargetSelector
-from ragwortstand.calls import Call
+from ragwortstand.calls import Call, FinishLimit
 from ragwortstand.events import Event, EventLog
 from ragwortstand.http_server import CallerRequest, CancelReason
 from ragwortstand.ids import RequestId
@@ -27,6 +28,7 @@
     Headers,
     Outcome,
     Refused,
+    Unknown,
     Verdict,
 )
 from ragwortstand.versions import Match, Snapshot
@@ -35,8 +37,7 @@
 # Retry delay while this daemon has no configuration: reading one from the
 # store or a peer takes well under this.
 _NO_CONFIGURATION_RETRY_S = 0.5
-# Retry delay while this daemon stops: its callers are routed elsewhere after
-# two failed readiness checks, a second apart.
+# Shortest retry delay while this daemon stops.
 _LEAVING_RETRY_S = 0.3
 _EVENTS = MappingProxyType(
     {
@@ -103,9 +104,32 @@
         self._metrics = metrics
         self._log = log
         self._wait_estimator = CallerWaitEstimator()
+        self._active: dict[asyncio.Task[object], Call] = {}
+        self._exit_s = math.inf
+        self._rerouted_at_s = 0.0
         self.is_refusing = False
         self.last_request_at_s = 0.0
 
+    def set_exit(self, exit_s: float, rerouted_at_s: float) -> None:
+        """Set when this daemon exits; requests must have finished by then.
+
+        :param exit_s: time of the exit.
+        :param rerouted_at_s: when callers are routed to other hosts.
+        """
+        self._exit_s = exit_s
+        self._rerouted_at_s = rerouted_at_s
+        for call in self._active.values():
+            call.limit.lower(exit_s)
+
+    def end_all(self) -> None:
+        """End all requests; callers learn whether theirs may have run.
+
+        Responses that wait for those of earlier requests on their connection
+        can be sent then.
+        """
+        for task in self._active:
+            task.cancel(CancelReason.EXIT)
+
     async def answer(self, request: CallerRequest) -> Answered:
         """Return the response to a caller's request.
 
@@ -123,7 +147,7 @@
                 call, None, parsed.request_id, request.arrived_at_s
             )
         else:
-            outcome = await self._dispatch_logging_cancellation(call)
+            outcome = await self._dispatch_until_exit(call)
             self._record_outcome(
                 outcome, call, parsed.request_id, request.arrived_at_s
             )
@@ -170,6 +194,35 @@
             goal_s=began_at_s + rank.target_s - waited_s,
             max_attempts=route.max_attempts,
             began_at_s=began_at_s,
+            limit=FinishLimit(self._exit_s),
+        )
+
+    async def _dispatch_until_exit(self, call: Call) -> Outcome:
+        """Dispatch a request, and end it when this daemon is about to exit."""
+        task = asyncio.current_task()
+        if task is None:
+            return await self._dispatch_logging_cancellation(call)
+        self._active[task] = call
+        try:
+            outcome = await self._dispatch_logging_cancellation(call)
+        except asyncio.CancelledError as error:
+            if error.args != (CancelReason.EXIT,):
+                raise
+            task.uncancel()
+            outcome = _outcome_at_exit(call)
+        finally:
+            self._active.pop(task)
+        if isinstance(outcome, Refused) and outcome.cause is Cause.LEAVING:
+            return self._delay_retry(outcome)
+        return outcome
+
+    def _delay_retry(self, refusal: Refused) -> Refused:
+        """Return a refusal with the time until callers reach other hosts."""
+        if math.isinf(self._exit_s):
+            return refusal
+        rerouted_in_s = self._rerouted_at_s - clock.now_s()
+        return replace(
+            refusal, retry_after_s=max(_LEAVING_RETRY_S, rerouted_in_s)
         )
 
     async def _dispatch_logging_cancellation(self, call: Call) -> Outcome:
@@ -228,3 +281,10 @@
             taken_s=round(taken_s, 4),
             retry_after_s=retry_after_s,
         )
+
+
+def _outcome_at_exit(call: Call) -> Outcome:
+    """Return the outcome of a request that the exit of the daemon ends."""
+    if call.is_dispatched or call.sends:
+        return Unknown(Cause.LEAVING)
+    return Refused(Cause.LEAVING)
--- a/src/ragwortstand/calls.py
+++ b/src/ragwortstand/calls.py
@@ -1,5 +1,6 @@
 """ragwortstand.calls: a request with its route, deadline and attempts."""
 
+import math
 from dataclasses import dataclass, field
 
 import xxhash
@@ -9,6 +10,23 @@
 from ragwortstand.verdicts import Headers
 
 
+@dataclass(slots=True)
+class FinishLimit:
+    """When a request must have finished, as a daemon on its path exits.
+
+    The request shares it with its place in a queue, so that a stop that begins
+    while it waits applies to it.
+
+    :param finish_by_s: time of the exit on this process's clock.
+    """
+
+    finish_by_s: float = math.inf
+
+    def lower(self, finish_by_s: float) -> None:
+        """Apply an exit unless an earlier one is known."""
+        self.finish_by_s = min(self.finish_by_s, finish_by_s)
+
+
 @dataclass(slots=True)
 class Call:
     """A request with the route, deadline and version that apply to it.
@@ -35,6 +53,7 @@
     :param is_dispatched: whether the first byte may have reached a backend
         server.
     :param is_suspect: whether it was in flight when a backend server crashed.
+    :param limit: when it must have finished because a daemon exits.
     """
 
     request_id: RequestId
@@ -56,6 +75,7 @@
     attempt: int = 1
     is_dispatched: bool = False
     is_suspect: bool = False
+    limit: FinishLimit = field(default_factory=FinishLimit)
     _fingerprint: Fingerprint | None = field(default=None, repr=False)
 
     @property
--- a/src/ragwortstand/graceful_stop.py
+++ b/src/ragwortstand/graceful_stop.py
@@ -3,7 +3,8 @@
 The sidecar first reports that it is not ready. It continues to serve other
 daemons for a while, and callers until they have been routed to other hosts.
 Only then does it refuse new requests; requests in flight have the rest of the
-grace period.
+grace period. Those that wait for a slot are refused once they would not finish
+in it, and the callers of all others get a response before the exit.
 """
 
 import math
@@ -13,8 +14,10 @@
 from anyio import lowlevel
 
 from ragwortstand import clock
+from ragwortstand.backend_servers.exit_refusals import LONG_REQUEST_FACTOR
 from ragwortstand.callers.proxy import Proxy
 from ragwortstand.events import Event, EventLog
+from ragwortstand.exit_limits import ExitLimits
 from ragwortstand.http_server import HttpServer
 from ragwortstand.peers.forwarding import ForwardedWork
 from ragwortstand.peers.members import Members
@@ -35,9 +38,6 @@
 # Requests of other daemons are refused this long after the signal; those that
 # started before have more than twice as long to finish.
 _REFUSE_PEERS_AFTER_S = 1.5
-# A request is expected to take up to this many times the mean service time;
-# longer ones are rare.
-_LONG_REQUEST_FACTOR = 2.0
 # New requests of callers are refused this long after the signal; those that
 # started before have the rest of the grace period.
 _REFUSE_CALLERS_AFTER_S = 2.8
@@ -47,6 +47,11 @@
 # responds to requests that were already on the way, and the other daemons
 # receive the announcement that it leaves.
 _FINAL_REQUESTS_S = 0.15
+# Requests that wait for a slot are refused at least this long before the exit;
+# the refusals of other daemons, in other regions too, arrive in time.
+_LAST_START_BEFORE_S = 0.5
+# Callers without a response get one at least this long before the exit.
+_LAST_RESPONSES_S = 0.1
 
 
 class GracefulStop:
@@ -58,6 +63,7 @@
         are not sent yet.
     :param members: the member list.
     :param announce: sends this daemon's own entry to other daemons.
+    :param limits: refuses requests that would not finish before the exit.
     :param log: receives an event when the stop begins.
     """
 
@@ -68,6 +74,7 @@
         unsent_bytes: Callable[[], int],
         members: Members,
         announce: Callable[[], None],
+        limits: ExitLimits,
         log: EventLog,
     ) -> None:
         """Store the components; `run` starts the stop."""
@@ -76,6 +83,7 @@
         self._unsent_bytes = unsent_bytes
         self._members = members
         self._announce = announce
+        self._limits = limits
         self._log = log
         self._end_s = math.inf
         self._scale = 1.0
@@ -98,9 +106,16 @@
         self._scale = min(1.0, usable_s / (_FULL_GRACE_S - _EXIT_RESERVE_S))
         end_s = started_s + usable_s
         self._end_s = end_s
+        self._limits.begin(
+            started_s,
+            rerouted_at_s=started_s + _CALLERS_REROUTED_S * self._scale,
+            last_start_s=end_s - _LAST_START_BEFORE_S * self._scale,
+            finish_by_s=end_s - _LAST_RESPONSES_S,
+        )
         now_s = started_s
         while now_s < end_s - _FINAL_REQUESTS_S:
             self._update_refusals(now_s - started_s)
+            self._limits.update(now_s)
             are_callers_gone = self._are_callers_gone(now_s - started_s, now_s)
             if are_callers_gone and not self._is_busy(callers):
                 break
@@ -117,7 +132,7 @@
         :param service_s: the backend server's mean time for a request.
         :param now_s: current time.
         """
-        finish_s = now_s + service_s * _LONG_REQUEST_FACTOR
+        finish_s = now_s + service_s * LONG_REQUEST_FACTOR
         return self.is_leaving or finish_s > self._end_s
 
     def _is_busy(self, callers: HttpServer) -> bool:
@@ -128,7 +143,8 @@
         """Stop listening, and respond to requests that were on the way.
 
         The exit must not cut off a request that was read: from here on new
-        requests are refused, and connections are closed when idle.
+        requests are refused, connections are closed when idle, and shortly
+        before the exit all requests get a response.
         """
         self._proxy.is_refusing = True
         self._members.update_own(is_ready=False, state=MemberState.LEFT)
@@ -141,8 +157,15 @@
             now_s = clock.now_s()
             if self._is_busy(callers):
                 idle_at_s = now_s + _FINAL_REQUESTS_S
-            if now_s >= min(idle_at_s, end_s):
+            if now_s >= idle_at_s:
                 return
+            if now_s >= end_s - _LAST_RESPONSES_S:
+                break
+        self._limits.end_all()
+        while callers.in_flight and now_s < end_s:
+            await _sleep_and_read()
+            now_s = clock.now_s()
+        await _read_pending()
 
     def _update_refusals(self, elapsed_s: float) -> None:
         """Refuse requests of other daemons first, and callers' later."""
@@ -167,5 +190,10 @@
     sockets, so that connections with unread requests would look idle.
     """
     await anyio.sleep(_POLL_S)
+    await _read_pending()
+
+
+async def _read_pending() -> None:
+    """Run what is pending: read from sockets, and handle what was read."""
     for _ in range(_READING_TURNS):
         await lowlevel.checkpoint()
--- a/src/ragwortstand/peers/forwarding.py
+++ b/src/ragwortstand/peers/forwarding.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import heapq
+import math
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -13,16 +14,22 @@
 
 from ragwortstand import clock
 from ragwortstand.backend_servers import Load
-from ragwortstand.calls import Call
+from ragwortstand.calls import Call, FinishLimit
 from ragwortstand.events import Event, EventLog, NullLog
 from ragwortstand.exceptions import PeerError, PeerGoneError
-from ragwortstand.ids import IdempotencyKey, RequestId, Version
+from ragwortstand.ids import (
+    IdempotencyKey,
+    PeerAddress,
+    RequestId,
+    Version,
+)
 from ragwortstand.models import Rank, Service
 from ragwortstand.peers.messages import (
     CancelWork,
     CrashCounts,
     CrashSuspects,
     Done,
+    LimitWork,
     Member,
     SuspectCleared,
     Work,
@@ -36,6 +43,7 @@
 
 _REPLY_GRACE_S = 0.05
 _CANCEL_TIMEOUT_S = 1.0
+_LIMIT_TIMEOUT_S = 0.5
 # Maximum number of resends of work, each over a new link, if another backend
 # server may be tried: after these, another server is faster. Work that may not
 # be tried elsewhere is resent until its deadline.
@@ -69,6 +77,14 @@
     busy: float
 
 
+@dataclass(frozen=True, slots=True, eq=False)
+class _Forwarded:
+    """A request that waits for the outcome from another daemon."""
+
+    call: Call
+    member: Member
+
+
 class Forwarder:
     """Sends requests to the daemon on the host of the chosen backend server.
 
@@ -79,6 +95,7 @@
         """Create a forwarder that uses some links."""
         self._links = links
         self._tasks: TaskGroup | None = None
+        self._forwarded: set[_Forwarded] = set()
 
     def start(self, tasks: TaskGroup) -> None:
         """Set the task group for cancellations, which outlive their request."""
@@ -93,16 +110,49 @@
         :param call: the request.
         :param member: the daemon on the host of the chosen backend server.
         """
+        forwarded = _Forwarded(call, member)
+        self._forwarded.add(forwarded)
+        call.is_dispatched = True
         try:
-            return await self._forward(call, member)
+            attempt = await self._forward(call, member)
         except asyncio.CancelledError:
             self._cancel(call, member)
             raise
+        finally:
+            self._forwarded.remove(forwarded)
+        call.is_dispatched = not isinstance(attempt.outcome, Refused)
+        return attempt
+
+    def limit(self, now_s: float) -> None:
+        """Send the time of this daemon's exit to those that run its requests.
+
+        They refuse what still waits there and would not finish in time.
+
+        :param now_s: present time.
+        """
+        by_address: dict[PeerAddress, list[_Forwarded]] = {}
+        for forwarded in self._forwarded:
+            address = forwarded.member.peer_address
+            by_address.setdefault(address, []).append(forwarded)
+        for sent in by_address.values():
+            finish_by_s = min(one.call.limit.finish_by_s for one in sent)
+            message = LimitWork(
+                tuple(one.call.request_id for one in sent),
+                max(0.0, finish_by_s - now_s),
+            )
+            if self._tasks:
+                self._tasks.start_soon(
+                    self.notify, sent[0].member, message, _LIMIT_TIMEOUT_S
+                )
 
     async def notify(
         self,
         member: Member,
-        message: CancelWork | CrashSuspects | CrashCounts | SuspectCleared,
+        message: CancelWork
+        | CrashCounts
+        | CrashSuspects
+        | LimitWork
+        | SuspectCleared,
         timeout_s: float,
     ) -> bool:
         """Send a message; return whether the daemon has received it.
@@ -191,6 +241,8 @@
     :param is_leaving: returns whether this daemon refuses new work.
     :param boot: random number of this process.
     :param log: event log for failures of the runner.
+    :ivar on_limit: called with the present time when requests must have
+        finished earlier than before.
     """
 
     def __init__(
@@ -217,6 +269,7 @@
         self._kept_bodies: deque[_KeptBody] = deque()
         self._kept_bytes = 0
         self._in_flight = 0
+        self.on_limit: Callable[[float], None] = _do_nothing
 
     @property
     def in_flight(self) -> int:
@@ -245,6 +298,15 @@
             run.scope.cancel()
         return Done()
 
+    def limit(self, request: LimitWork) -> Done:
+        """Refuse waiting requests that would outlast the daemon they are of."""
+        now_s = clock.now_s()
+        for request_id in request.request_ids:
+            for run in self._runs.get(request_id, {}).values():
+                run.call.limit.lower(now_s + request.finish_in_s)
+        self.on_limit(now_s)
+        return Done()
+
     def _start_run(self, work: Work) -> _Run:
         self._drop_expired_outcomes(clock.now_s())
         call = self._call_from(work)
@@ -356,9 +418,16 @@
             goal_s=None if work.goal_s is None else now_s + work.goal_s,
             key=IdempotencyKey(work.key) if work.key else None,
             attempt=work.attempt,
+            limit=_limit_of(work, now_s),
         )
 
 
+def _limit_of(work: Work, now_s: float) -> FinishLimit:
+    if work.finish_in_s is None:
+        return FinishLimit()
+    return FinishLimit(now_s + work.finish_in_s)
+
+
 def _cancel_later_if_orphaned(run: _Run) -> None:
     if not run.waiters and not run.result.done():
         loop = asyncio.get_running_loop()
@@ -377,6 +446,7 @@
 
 
 def _work_message(call: Call, boot: int, is_resent: bool, now_s: float) -> Work:
+    finish_in_s = call.limit.finish_by_s - now_s
     return Work(
         request_id=call.request_id,
         method=call.method,
@@ -394,6 +464,7 @@
         boot=boot,
         is_resent=is_resent,
         sent_at_s=clock.boot_time_s(),
+        finish_in_s=None if math.isinf(finish_in_s) else max(0.0, finish_in_s),
     )
 
 
@@ -431,3 +502,7 @@
     if call.remaining_s(clock.now_s()) <= _MIN_RESEND_S:
         return Unknown(Cause.DEADLINE)
     return Unknown(Cause.PEER_UNREACHABLE)
+
+
+def _do_nothing(now_s: float) -> None:
+    """Let requests that wait keep their places."""
--- a/src/ragwortstand/peers/handlers.py
+++ b/src/ragwortstand/peers/handlers.py
@@ -21,6 +21,7 @@
     FetchVersion,
     IndirectPing,
     Join,
+    LimitWork,
     OfferVersion,
     Ping,
     ReadStore,
@@ -79,6 +80,8 @@
                 return await self._forwarded.run(request)
             case CancelWork():
                 return self._forwarded.cancel(request)
+            case LimitWork():
+                return self._forwarded.limit(request)
             case CrashSuspects():
                 now_s = anyio.current_time()
                 report = CrashReport(request.fingerprints, request.others)
--- a/src/ragwortstand/peers/messages.py
+++ b/src/ragwortstand/peers/messages.py
@@ -228,6 +228,8 @@
     :param is_resent: whether the work may have arrived before.
     :param sent_at_s: when it was sent, on the boot-time clock of the sender's
         host; 0 from daemons that do not say it.
+    :param finish_in_s: time in which it must finish, as the sender exits then;
+        None while the sender does not stop.
     """
 
     request_id: RequestId
@@ -246,6 +248,7 @@
     boot: int = 0
     is_resent: bool = False
     sent_at_s: float = 0.0
+    finish_in_s: float | None = None
 
 
 class WorkDone(_Message, frozen=True):
@@ -276,6 +279,19 @@
     request_id: RequestId
 
 
+class LimitWork(_Message, frozen=True):
+    """Request to refuse work that would not finish before the sender exits.
+
+    Only work that waits is refused; work that runs continues.
+
+    :param request_ids: ids of the requests.
+    :param finish_in_s: time in which they must finish.
+    """
+
+    request_ids: tuple[RequestId, ...]
+    finish_in_s: float
+
+
 class AskStore(_Message, frozen=True):
     """Request to check whether the receiver reaches the platform's store."""
 
@@ -336,6 +352,7 @@
     | ReadStore
     | Work
     | CancelWork
+    | LimitWork
     | CrashSuspects
     | CrashCounts
     | SuspectCleared
--- a/src/ragwortstand/sidecar.py
+++ b/src/ragwortstand/sidecar.py
@@ -26,6 +26,7 @@
 from ragwortstand.callers.weighted_targets import WeightedTargetSelector
 from ragwortstand.events import Event, EventLog
 from ragwortstand.exceptions import PlatformError
+from ragwortstand.exit_limits import ExitLimits
 from ragwortstand.graceful_stop import GracefulStop
 from ragwortstand.http_server import HttpServer, RequestHandler
 from ragwortstand.ids import (
@@ -409,12 +410,18 @@
             self._boot,
             self._log,
         )
+        self._forwarded.on_limit = (
+            self._backend_server.exit_refusals.refuse_late
+        )
         self._stop = GracefulStop(
             self._proxy,
             self._forwarded,
             lambda: self._listener.unsent_bytes,
             self._members,
             self._schedule_announcement,
+            ExitLimits(
+                self._proxy, self._backend_server.exit_refusals, self._forwarder
+            ),
             self._log,
         )
         self._handlers = PeerHandlers(
--- a/tests/test_graceful_stop.py
+++ b/tests/test_graceful_stop.py
@@ -10,6 +10,7 @@
 import anyio
 
 from ragwortstand import clock, graceful_stop
+from ragwortstand.exit_limits import ExitLimits
 from ragwortstand.graceful_stop import GracefulStop
 from ragwortstand.http_server import CallerRequest, HttpServer
 from ragwortstand.models import CallerLimits
@@ -36,6 +37,8 @@
         self.announcements = 0
         self.unsent_bytes = 0
         self.delay_s = 0.0
+        self.exit_s = 0.0
+        self.ended_at_s = 0.0
         self.server = HttpServer(self.handle_request, CallerLimits, ListLog())
         self.stop = GracefulStop(
             self.proxy,  # type: ignore[arg-type]
@@ -43,12 +46,25 @@
             lambda: self.unsent_bytes,
             self.members,
             self.announce,
+            ExitLimits(self, self, self),
             ListLog(),
         )
 
     def announce(self) -> None:
         self.announcements += 1
 
+    def set_exit(self, exit_s: float, rerouted_at_s: float = 0.0) -> None:
+        self.exit_s = exit_s
+
+    def refuse_late(self, now_s: float) -> None:
+        """Leave waiting requests to the tests of `ExitRefusals`."""
+
+    def limit(self, now_s: float) -> None:
+        """Send nothing to other daemons."""
+
+    def end_all(self) -> None:
+        self.ended_at_s = clock.now_s()
+
     async def handle_request(self, request: CallerRequest) -> Answered:
         self.proxy.last_request_at_s = clock.now_s()
         if self.proxy.is_refusing:
@@ -103,6 +119,7 @@
         async with running_http(daemon.server):
             await daemon.stop.run(daemon.server, 3.0)
         self.assertLess(clock.now_s() - started_s, 3.0)
+        self.assertLess(started_s, daemon.ended_at_s)
         self.assertIs(daemon.members.own.state, MemberState.LEFT)
         self.assertGreater(daemon.announcements, 0)
 
