Keep to a leaving that another writer's heartbeat came before

Cause: the announcements of a boot were ordered by the sequence number alone. A heartbeat of another writer with a high number hid the server's own, also the one that it drains, which got a 200 and was ignored (`outdated-announcement` in the log). That such a heartbeat counted at all is a second cause: `coldLeftMs` had a default, so that one without it was valid. Ruled out: the peers (the requests were run by the daemon that had confirmed) and a late call (the sequence number of the draining heartbeat was the next one of the server).

Change: `coldLeftMs` is required. Draining is final in a boot, so a heartbeat that says so counts in any order; one of an earlier boot is recorded as a departure, and a server that names no start does not come back either. One that is ignored for good reason is refused (400), not confirmed. A count that goes on below a higher one shows that the higher one was not the server's; the second such heartbeat counts, where a server was out of use for good before.

--- a/src/ragwortstand/backend_servers/announcement_filter.py
+++ b/src/ragwortstand/backend_servers/announcement_filter.py
@@ -27,6 +27,10 @@
     server that is not in doubt replaces one that is, whichever started first,
     and is not replaced by it while it announces itself.
 
+    Announcements of one boot may overtake each other. One that was overtaken is
+    ignored, unless the server drains, which is final, or is followed by another
+    one that continues its count: then the higher count was not the server's.
+
     :param departures: the servers that have left.
     :param timeout_s: time without an announcement after which a server is
         silent.
@@ -42,6 +46,7 @@
         self._timeout_s = timeout_s
         self._log = log
         self.announced_at_s = 0.0
+        self._overtaken: Announcement | None = None
         self._services: frozenset[str] | None = None
         self._misdirected: deque[Identity] = deque(maxlen=_MAX_MISDIRECTED)
 
@@ -89,17 +94,22 @@
                 boot=announcement.boot,
                 sequence=announcement.sequence,
             )
+            if _is_older(announcement, previous):
+                self.record_draining(announcement)
             return False
         self.announced_at_s = now_s
+        self._overtaken = None
         return True
 
     def record_draining(self, announcement: Announcement) -> None:
-        """Record the departure of a server that drains.
+        """Record the departure of a server if it drains.
 
         One whose service is in no configuration is not recorded, as it may
         bear the instance of the server at the address.
         """
-        if announcement.boot and not self._is_in_doubt(announcement):
+        if not announcement.is_draining or not announcement.boot:
+            return
+        if not self._is_in_doubt(announcement):
             self._departures.record(identity_of(announcement))
 
     def _is_in_doubt(self, announcement: Announcement) -> bool:
@@ -121,10 +131,33 @@
             return False
         is_same = identity == identity_of(previous)
         if is_same and announcement.service == previous.service:
-            return announcement.sequence < previous.sequence
+            return self._is_overtaken(announcement, previous)
         if self.is_silent(now_s) or self._is_in_doubt(previous):
             return False
         if is_same or self._is_in_doubt(announcement):
             # A boot provides one service.
             return True
         return announcement.boot < previous.boot
+
+    def _is_overtaken(
+        self, announcement: Announcement, previous: Announcement
+    ) -> bool:
+        """Return whether a later announcement of the same boot came before."""
+        if announcement.is_draining:
+            return False
+        if announcement.sequence >= previous.sequence:
+            return False
+        overtaken = self._overtaken
+        self._overtaken = announcement
+        return (
+            overtaken is None
+            or identity_of(overtaken) != identity_of(announcement)
+            or announcement.sequence <= overtaken.sequence
+        )
+
+
+def _is_older(
+    announcement: Announcement, previous: Announcement | None
+) -> bool:
+    """Return whether an earlier boot than the one in force has sent it."""
+    return previous is not None and announcement.boot < previous.boot
--- a/src/ragwortstand/backend_servers/server.py
+++ b/src/ragwortstand/backend_servers/server.py
@@ -167,15 +167,16 @@
         self,
         announcement: Announcement,
         now_s: float,
-    ) -> None:
+    ) -> bool:
         """Apply an announcement of the backend server.
 
         :param announcement: the state that it announces.
         :param now_s: present time.
+        :returns: whether it is in force, or the server is known to have left.
         """
         previous = self.announcement
         if not self._filter.accepts(announcement, previous, now_s):
-            return
+            return self.has_departed(identity_of(announcement))
         is_restart = previous is None or (
             identity_of(previous) != identity_of(announcement)
         )
@@ -185,6 +186,7 @@
         if is_restart:
             # Last, as it waits for peers while other calls are handled.
             await self.crash_detector.handle_restart(now_s)
+        return True
 
     def depart(
         self,
@@ -363,12 +365,11 @@
         if previous and identity_of(previous) == identity_of(announcement):
             if self.state is BackendState.DOWN:
                 self._admission.open(announcement.slots, 0, now_s)
-            elif previous.is_draining and announcement.boot:
+            elif previous.is_draining and _names_boot(announcement):
                 # A boot that has begun to drain never becomes ready again.
                 announcement = replace(announcement, is_draining=True)
         self.announcement = announcement
-        if announcement.is_draining:
-            self._filter.record_draining(announcement)
+        self._filter.record_draining(announcement)
         self._set_state(
             BackendState.DRAINING
             if announcement.is_draining
@@ -436,6 +437,11 @@
     return partial(HttptoolsConnection.connect, memory_budget=memory_budget)
 
 
+def _names_boot(announcement: Announcement) -> bool:
+    """Return whether announcements of two boots can be told apart."""
+    return bool(announcement.boot or announcement.sequence)
+
+
 def _always_here(call: Call) -> bool:
     """Run suspects on this host where key owners are not known."""
     return True
--- a/src/ragwortstand/platform/control.py
+++ b/src/ragwortstand/platform/control.py
@@ -54,13 +54,11 @@
     state: Literal['ready', 'draining']
     # Increases with each call of one boot.
     seq: Count
+    # Time until the backend server is no longer slow from its cold start.
+    cold_left_ms: Annotated[float, msgspec.Meta(le=MAX_COLD_START_S * 1000)]
     # Start of the backend server in Unix milliseconds, which identifies its
     # boot; increases with each boot.
     born: Count = 0
-    # Time until the backend server is no longer slow from its cold start.
-    cold_left_ms: Annotated[float, msgspec.Meta(le=MAX_COLD_START_S * 1000)] = (
-        0.0
-    )
 
 
 class _Deregistration(msgspec.Struct, frozen=True):
@@ -75,6 +73,7 @@
         """Process an announcement of a backend server.
 
         :raises PlatformError: when it can't be processed yet.
+        :raises ValueError: when it says that a server drains, and is ignored.
         """
 
     async def depart(
--- a/src/ragwortstand/sidecar.py
+++ b/src/ragwortstand/sidecar.py
@@ -197,11 +197,17 @@
         :param announcement: the announcement.
         :raises PlatformError: when it can't be told yet whether the server has
             left before this daemon was started.
+        :raises ValueError: when it says that a server drains, and is ignored,
+            as another server has the address.
         """
         if not announcement.is_draining:
             await self._await_rows()
         previous_state = self._backend_server.state
-        await self._backend_server.announce(announcement, clock.now_s())
+        is_applied = await self._backend_server.announce(
+            announcement, clock.now_s()
+        )
+        if announcement.is_draining and not is_applied:
+            raise ValueError('another backend server has the address')
         async with anyio.create_task_group() as tasks:
             if previous_state is not self._backend_server.state:
                 tasks.start_soon(self._announce_own_state)
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -164,8 +164,14 @@
             host, 'control', WireRequest('POST', path, (), body)
         )
 
-    async def heartbeat(self, host: Host) -> Answered | None:
-        """Send a heartbeat of a host's backend server."""
+    async def heartbeat(
+        self, host: Host, leave_out: str = '', **changes: object
+    ) -> Answered | None:
+        """Send a heartbeat of a host's backend server.
+
+        :param leave_out: name of a field to leave out.
+        :param changes: fields to send with other values.
+        """
         backend_server = host.backend_server
         backend_server.sequence += 1
         body = {
@@ -178,7 +184,9 @@
             'coldLeftMs': 0,
             'seq': backend_server.sequence,
             'born': 1000,
+            **changes,
         }
+        body.pop(leave_out, None)
         path = f'/api/instances/{backend_server.instance}/heartbeat'
         text = json.dumps(body).encode()
         return await self.call(
--- a/tests/test_platform_control.py
+++ b/tests/test_platform_control.py
@@ -42,6 +42,7 @@
             SIDECAR_SETTINGS, self.log, admission=LatencyObjectiveAdmission()
         )
         self.announcements: list[Announcement] = []
+        self.results: list[bool] = []
         self.now_s = 0.0
         self.is_starting = False
 
@@ -49,7 +50,9 @@
         if self.is_starting:
             raise PlatformError('not known yet', Verdict.NOT_RUN)
         self.announcements.append(announcement)
-        await self.server.announce(announcement, self.now_s)
+        self.results.append(
+            await self.server.announce(announcement, self.now_s)
+        )
 
     async def depart(
         self, instance: str, boot: int, *, is_upper_bound: bool
