Do not take a refusal because the sender leaves for an unreachable host

Cause: a queue refused requests that would outlast the daemon of their caller with the cause `leaving`, after which that daemon blocks the host for up to three seconds; its other callers, who are still served then, would find no server.

Change: such refusals have a cause of their own, `sender-leaving`, which only daemons get that have said that they leave. A request that its daemon's exit ends has an outcome like any other and no `abandoned` line. The margin for long requests is that of the exit that comes first.

Tests: test_latency_objective_choice (the host is chosen again at once), test_exit_refusals (the causes), tests/test_responses_at_exit.py (503 or 502 for each request in flight, pipelined ones included, and the retry delay).

--- a/src/ragwortstand/backend_servers/exit_refusals.py
+++ b/src/ragwortstand/backend_servers/exit_refusals.py
@@ -8,7 +8,7 @@
 import math
 
 from ragwortstand.backend_servers.admission import Admission, Ticket
-from ragwortstand.calls import Call
+from ragwortstand.calls import Call, FinishLimit
 from ragwortstand.verdicts import Cause, Refused
 
 #: Few requests take longer than this multiple of the mean service time.
@@ -54,13 +54,10 @@
         :param call: a request that has a slot.
         :param now_s: present time.
         """
-        finish_by_s = min(self._exit_s, call.limit.finish_by_s)
-        if math.isinf(finish_by_s):
+        if math.isinf(min(self._exit_s, call.limit.finish_by_s)):
             return None
         service_s = self._admission.service_s(call.rank.name, now_s)
-        if now_s + service_s * _USUAL_REQUEST_FACTOR > finish_by_s:
-            return Refused(Cause.LEAVING)
-        return None
+        return self._late_refusal(call.limit, service_s, now_s)
 
     def refuse_late(self, now_s: float) -> None:
         """Refuse waiting requests that would probably be cut off.
@@ -70,25 +67,34 @@
         load = self._admission.load(now_s)
         slot_interval_s = load.service_s / max(1, load.slots)
         start_s = now_s + slot_interval_s
-        late: list[Ticket] = []
+        late: list[tuple[Ticket, Refused]] = []
         for ticket in self._admission.waiting():
             if ticket.refusal:
                 continue
-            if self._is_late(ticket, start_s, now_s):
-                late.append(ticket)
+            service_s = self._admission.service_s(ticket.rank, now_s)
+            refusal = self._late_refusal(ticket.limit, service_s, start_s)
+            if refusal:
+                late.append((ticket, refusal))
             else:
                 start_s += slot_interval_s
-        for ticket in late:
-            ticket.refuse(Refused(Cause.LEAVING))
+        for ticket, refusal in late:
+            ticket.refuse(refusal)
 
-    def _is_late(self, ticket: Ticket, start_s: float, now_s: float) -> bool:
-        """Return whether a request that starts at a time would be cut off.
+    def _late_refusal(
+        self, limit: FinishLimit, service_s: float, start_s: float
+    ) -> Refused | None:
+        """Return the refusal of a request that would probably be cut off.
 
         An exit of this daemon leaves more of a margin, as other daemons, which
         do not stop, would not know the outcome of what it cuts off.
+
+        :param limit: when the daemon that has sent the request exits.
+        :param service_s: the mean time for such a request.
+        :param start_s: when it starts.
         """
-        service_s = self._admission.service_s(ticket.rank, now_s)
-        usual_finish_s = start_s + service_s * _USUAL_REQUEST_FACTOR
-        if usual_finish_s > ticket.limit.finish_by_s:
-            return True
-        return start_s + service_s * LONG_REQUEST_FACTOR > self._exit_s
+        if limit.finish_by_s <= self._exit_s:
+            finish_s = start_s + service_s * _USUAL_REQUEST_FACTOR
+            is_late = finish_s > limit.finish_by_s
+            return Refused(Cause.SENDER_LEAVING) if is_late else None
+        finish_s = start_s + service_s * LONG_REQUEST_FACTOR
+        return Refused(Cause.LEAVING) if finish_s > self._exit_s else None
--- a/src/ragwortstand/callers/proxy.py
+++ b/src/ragwortstand/callers/proxy.py
@@ -39,6 +39,10 @@
 _NO_CONFIGURATION_RETRY_S = 0.5
 # Shortest retry delay while this daemon stops.
 _LEAVING_RETRY_S = 0.3
+# Message of cancellations after which a request still gets a response.
+_EXIT = 'exit'
+# Refusals because of an exit of this daemon or of one that runs its requests.
+_EXIT_CAUSES = frozenset((Cause.LEAVING, Cause.SENDER_LEAVING))
 _EVENTS = MappingProxyType(
     {
         Verdict.RAN: Event.SERVED,
@@ -128,7 +132,7 @@
         can be sent then.
         """
         for task in self._active:
-            task.cancel(CancelReason.EXIT)
+            task.cancel(_EXIT)
 
     async def answer(self, request: CallerRequest) -> Answered:
         """Return the response to a caller's request.
@@ -147,7 +151,7 @@
                 call, None, parsed.request_id, request.arrived_at_s
             )
         else:
-            outcome = await self._dispatch_until_exit(call)
+            outcome = await self._dispatch_logging_cancellation(call)
             self._record_outcome(
                 outcome, call, parsed.request_id, request.arrived_at_s
             )
@@ -201,18 +205,18 @@
         """Dispatch a request, and end it when this daemon is about to exit."""
         task = asyncio.current_task()
         if task is None:
-            return await self._dispatch_logging_cancellation(call)
+            return await self._dispatch(call)
         self._active[task] = call
         try:
-            outcome = await self._dispatch_logging_cancellation(call)
+            outcome = await self._dispatch(call)
         except asyncio.CancelledError as error:
-            if error.args != (CancelReason.EXIT,):
+            if error.args != (_EXIT,):
                 raise
             task.uncancel()
             outcome = _outcome_at_exit(call)
         finally:
             self._active.pop(task)
-        if isinstance(outcome, Refused) and outcome.cause is Cause.LEAVING:
+        if isinstance(outcome, Refused) and outcome.cause in _EXIT_CAUSES:
             return self._delay_retry(outcome)
         return outcome
 
@@ -228,7 +232,7 @@
     async def _dispatch_logging_cancellation(self, call: Call) -> Outcome:
         """Dispatch a request; log it if it is cancelled before it ends."""
         try:
-            return await self._dispatch(call)
+            return await self._dispatch_until_exit(call)
         except asyncio.CancelledError as error:
             reason = error.args[0] if error.args else None
             self._log.emit(
--- a/src/ragwortstand/http_server.py
+++ b/src/ragwortstand/http_server.py
@@ -65,7 +65,6 @@
     """Why a request was cancelled before its response was sent."""
 
     CALLER = 'caller'
-    EXIT = 'exit'
     STOP = 'stop'
     EARLIER_RESPONSE = 'answer-before'
 
--- a/src/ragwortstand/verdicts.py
+++ b/src/ragwortstand/verdicts.py
@@ -32,6 +32,7 @@
     RATE_LIMITED = 'rate-limited'
     DEADLINE = 'deadline'
     LEAVING = 'leaving'
+    SENDER_LEAVING = 'sender-leaving'
     CONNECTION_LOST = 'connection-lost'
     PEER_UNREACHABLE = 'peer-unreachable'
     CRASHED = 'crashed'
--- a/tests/test_exit_refusals.py
+++ b/tests/test_exit_refusals.py
@@ -89,7 +89,7 @@
         self.assertGreater(kept, _SLOTS * 4)
         self.assertLess(kept, _SLOTS * 6)
         causes = {ticket.refusal.cause for _, ticket in entered[kept:]}
-        self.assertEqual(causes, {Cause.LEAVING})
+        self.assertEqual(causes, {Cause.SENDER_LEAVING})
 
     def test_none_is_refused_without_an_exit(self) -> None:
         queue = _Queue()
@@ -114,7 +114,8 @@
         queue.refusals.set_exit(_EXIT_S)
         queue.refusals.refuse_late(0)
         self.assertFalse(any(ticket.refusal for _, ticket in urgent))
-        self.assertTrue(bulk[-1][1].refusal)
+        refusal = bulk[-1][1].refusal
+        self.assertEqual(refusal and refusal.cause, Cause.LEAVING)
 
     # Guards against requests that reach a server shortly before the exit of
     # the daemon beside it, which cuts them off.
@@ -143,7 +144,7 @@
         call.limit.lower(_EXIT_S)
         self.assertIsNone(queue.refusals.refusal(call, 0))
         found = queue.refusals.refusal(call, _EXIT_S - _SERVICE_S)
-        self.assertEqual(found and found.cause, Cause.LEAVING)
+        self.assertEqual(found and found.cause, Cause.SENDER_LEAVING)
 
     def test_other_policies_list_what_waits(self) -> None:
         for policy in (ShareAdmission(), FifoAdmission()):
--- a/tests/test_latency_objective_choice.py
+++ b/tests/test_latency_objective_choice.py
@@ -247,6 +247,12 @@
             self._record_call(host, Refused(Cause.BACKEND_SERVER_DOWN))
         self.assertEqual(self._count_choices(0.1), {'': 20})
 
+    # A daemon that stopped sent no more requests to the servers whose daemons
+    # refused those that would outlast it.
+    def test_refusal_because_the_sender_leaves_blocks_nothing(self) -> None:
+        self._record_call('near', Refused(Cause.SENDER_LEAVING))
+        self.assertEqual(self._count_choices(0.01), {'near': 20})
+
     def test_new_process_starts_without_history(self) -> None:
         self._record_call('near', Refused(Cause.LEAVING))
         self.choice.record_member(replace(_NEAR, boot=2))
