Ignore a caller's offer of another protocol instead of answering twice

With a body it was worse: the request was run without the body, whose bytes were left to be read as another request.

Cause: the parser ends such a request with its headers and reports it as complete before it raises; the server handled both. Ruled out: the backend servers and the second hop, as the 501 was sent before the next request was.

Change: `upgrade` is ignored (RFC 9110, section 7.8). The head is read again without it, so that the body is read and all limits are checked. `CONNECT` gets one 501 and does not run.

Related path: the client of backend servers refuses upgrades in responses already (test_clients).

--- a/src/ragwortstand/http_server.py
+++ b/src/ragwortstand/http_server.py
@@ -270,12 +270,7 @@
             body_request.framing_bytes += len(data)
         else:
             body_request = None
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._refuse(HTTPStatus.NOT_IMPLEMENTED)
-        except httptools.HttpParserError:
-            self._refuse(HTTPStatus.BAD_REQUEST)
+        self._parse(data)
         self._check_header_size(len(data))
         self._check_framing(body_request)
 
@@ -303,7 +298,7 @@
     def on_headers_complete(self) -> None:
         """Check the headers' size, content length and `expect`."""
         partial = self._partial
-        if partial is None:
+        if partial is None or self._parser.should_upgrade():
             return
         partial.has_headers = True
         headers = dict(partial.headers)
@@ -333,6 +328,9 @@
 
     def on_message_complete(self) -> None:
         """Check the headers' size and run the request."""
+        if self._parser.should_upgrade():
+            # The parser has skipped the body; `_parse` reads it.
+            return
         partial = self._partial
         self._partial = None
         self._has_completed_request = True
@@ -360,10 +358,14 @@
 
         :param now_s: current time.
         """
+        age_s = now_s - self._opened_at_s
+        awaits_request = (
+            not self._has_received_data and age_s < _FIRST_REQUEST_GRACE_S
+        )
         is_busy = (
             self._partial is not None
             or self._lingering_close is not None
-            or self._awaits_first_request(now_s)
+            or awaits_request
             or self.unsent_bytes > 0
         )
         return max(len(self.exchanges), int(is_busy))
@@ -400,6 +402,27 @@
                 self._start_lingering_close()
             self.close_if_idle(now_s)
 
+    def _parse(self, data: bytes) -> None:
+        """Parse received bytes, and run requests as if `upgrade` was not there.
+
+        A server may ignore it (RFC 9110, section 7.8). As the parser ends such
+        a request with its headers, another one reads it again without it.
+        """
+        remaining = data
+        while remaining and not self._has_refused_request:
+            try:
+                self._parser.feed_data(remaining)
+            except httptools.HttpParserUpgrade as upgrade:
+                head = _head_without_upgrade(self._parser, self._partial)
+                remaining = head + remaining[upgrade.args[0] :]
+                self._parser = httptools.HttpRequestParser(self)
+                if not head:
+                    self._refuse(HTTPStatus.NOT_IMPLEMENTED)
+                continue
+            except httptools.HttpParserError:
+                self._refuse(HTTPStatus.BAD_REQUEST)
+            return
+
     async def _run(self, exchange: _Exchange) -> None:
         try:
             exchange.response = await self._server.handle_request(
@@ -440,12 +463,6 @@
         elif is_last:
             self.close_and_cancel(CancelReason.EARLIER_RESPONSE)
 
-    def _awaits_first_request(self, now_s: float) -> bool:
-        """Return whether the first request may still be on the way."""
-        if self._has_received_data:
-            return False
-        return now_s - self._opened_at_s < _FIRST_REQUEST_GRACE_S
-
     def _start_lingering_close(self) -> None:
         """Shut down the sending side and close once the caller has too.
 
@@ -541,6 +558,27 @@
     return b''.join(lines)
 
 
+def _head_without_upgrade(
+    parser: httptools.HttpRequestParser, partial: _PartialRequest | None
+) -> bytes:
+    """Return the head of a request without `upgrade`; empty for `CONNECT`.
+
+    :param parser: the parser of the request.
+    :param partial: the request.
+    """
+    method = parser.get_method()
+    if partial is None or method == b'CONNECT':
+        return b''
+    version = parser.get_http_version().encode()
+    lines = [b'%b %b HTTP/%b' % (method, partial.url, version)]
+    lines.extend(
+        b'%b: %b' % header
+        for header in partial.headers
+        if header[0] != b'upgrade'
+    )
+    return b'\r\n'.join((*lines, b'', b''))
+
+
 def _reason_phrase(response: Answered) -> bytes:
     try:
         return HTTPStatus(response.status).phrase.encode()
