Apply a changed address of the store at a reload

Cause: a reload applied four settings; the client of the store kept the address that it was created with. Ruled out: the store, which was never down, and the readers' election, which no daemon could have won.

Change: the client moves to a new address, the row is read before the feed is followed again, and rows of members, departures and quarantines are checked. On the same path, `heartbeatMs` and new seeds are applied, and an address of the store that is none is refused with its path.

--- a/src/ragwortstand/backend_servers/announcement_filter.py
+++ b/src/ragwortstand/backend_servers/announcement_filter.py
@@ -35,6 +35,7 @@
     :param timeout_s: time without an announcement after which a server is
         silent.
     :param log: logs ignored announcements.
+    :ivar timeout_s: may be changed.
     :ivar announced_at_s: when an announcement was accepted last.
     """
 
@@ -43,7 +44,7 @@
     ) -> None:
         """Create a filter that knows no services, so that all are accepted."""
         self._departures = departures
-        self._timeout_s = timeout_s
+        self.timeout_s = timeout_s
         self._log = log
         self.announced_at_s = 0.0
         self._overtaken: Announcement | None = None
@@ -69,7 +70,7 @@
 
         :param now_s: present time.
         """
-        return now_s - self.announced_at_s > self._timeout_s
+        return now_s - self.announced_at_s > self.timeout_s
 
     def accepts(
         self,
--- a/src/ragwortstand/backend_servers/server.py
+++ b/src/ragwortstand/backend_servers/server.py
@@ -78,6 +78,7 @@
     :param connect: opens connections to the backend server; None takes those
         of httptools, whose responses share the memory limit of the settings.
     :param metrics: counts the requests sent; None counts them nowhere.
+    :ivar announcement_filter: decides which announcements are ignored.
     :ivar departures: the servers that have left.
     :ivar exit_refusals: refuses requests that a daemon's exit would cut off.
     :ivar on_change: called when the state, the service, the number of slots
@@ -100,7 +101,7 @@
         self.exit_refusals = ExitRefusals(self._admission)
         self._metrics = (metrics or Metrics()).backend_server
         self.departures = Departures()
-        self._filter = AnnouncementFilter(
+        self.announcement_filter = AnnouncementFilter(
             self.departures, settings.backend_server.announce_timeout_s, log
         )
         self._signals = SignalTracker(self._metrics, log)
@@ -121,7 +122,9 @@
             self._handle_signals,
             log,
         )
-        self._request_sender.on_misdirected = self._filter.record_misdirected
+        self._request_sender.on_misdirected = (
+            self.announcement_filter.record_misdirected
+        )
         self.is_owner: Callable[[Call], bool] = _always_here
         self.on_change: Callable[[], None] = _ignore_change
 
@@ -158,7 +161,7 @@
         self._admission.configure(snapshot.configuration.ranks)
         self._rate_limiter.configure(snapshot.configuration.ranks)
         services = snapshot.configuration.services
-        self._filter.configure(services)
+        self.announcement_filter.configure(services)
         self._cold_start_s = {
             service.name: service.cold_start_s for service in services
         }
@@ -175,7 +178,7 @@
         :returns: whether it is in force, or the server is known to have left.
         """
         previous = self.announcement
-        if not self._filter.accepts(announcement, previous, now_s):
+        if not self.announcement_filter.accepts(announcement, previous, now_s):
             return self.has_departed(identity_of(announcement))
         is_restart = previous is None or (
             identity_of(previous) != identity_of(announcement)
@@ -234,7 +237,10 @@
 
         :param now_s: present time.
         """
-        if self._filter.is_silent(now_s) and self.state is BackendState.READY:
+        if (
+            self.announcement_filter.is_silent(now_s)
+            and self.state is BackendState.READY
+        ):
             self._set_state(BackendState.DOWN)
 
     async def run(self, call: Call, claim: ClaimStep | None = None) -> Outcome:
@@ -280,7 +286,9 @@
             verdict=outcome.verdict.value,
             instance=self.announcement.instance if self.announcement else '',
             state=self.state.value,
-            announced_s_ago=round(now_s - self._filter.announced_at_s, 3),
+            announced_s_ago=round(
+                now_s - self.announcement_filter.announced_at_s, 3
+            ),
             slots=load.slots,
             in_use=load.in_use,
             queued=load.queued,
@@ -369,7 +377,7 @@
                 # A boot that has begun to drain never becomes ready again.
                 announcement = replace(announcement, is_draining=True)
         self.announcement = announcement
-        self._filter.record_draining(announcement)
+        self.announcement_filter.record_draining(announcement)
         self._set_state(
             BackendState.DRAINING
             if announcement.is_draining
@@ -388,7 +396,7 @@
         if self.announcement is None:
             return
         identity = identity_of(self.announcement)
-        self._filter.record_response(identity)
+        self.announcement_filter.record_response(identity)
         if not signals.is_leaving:
             return
         if not self.has_departed(identity):
--- a/src/ragwortstand/platform/program.py
+++ b/src/ragwortstand/platform/program.py
@@ -52,19 +52,19 @@
         self._log = log
         metrics = Metrics()
         self._client = StoreClient(node.provider.address, metrics, log)
-        versions = StoreVersions(self._client, _ignore_reach, log)
+        self._versions = StoreVersions(self._client, _ignore_reach, log)
         self._caller_dialect = PlatformCallerDialect(
             node.service, random.Random()
         )
         dependencies = SidecarDependencies(
             callers=self._caller_dialect,
             backend_servers=PlatformBackendDialect(),
-            versions=versions,
+            versions=self._versions,
             table=StoreTable(self._client),
         )
         self._sidecar = Sidecar(node.sidecar(), dependencies, metrics, log)
-        versions.on_reach = self._sidecar.set_store_reach
-        versions.on_overdue = self._sidecar.ask_others_to_read
+        self._versions.on_reach = self._sidecar.set_store_reach
+        self._versions.on_overdue = self._sidecar.ask_others_to_read
         self._client.on_restored = self._sidecar.check_stored_rows
         self._ready_api = ReadyApi(
             lambda: self._sidecar.is_ready, metrics.render
@@ -119,6 +119,9 @@
         self._caller_dialect.service = node.service
         self._control_api.address = node.app_addr
         self._sidecar.reload(settings)
+        if self._client.move(node.provider.address):
+            self._versions.restart()
+            self._sidecar.check_stored_rows()
 
 
 def main(arguments: Sequence[str] | None = None) -> int:
--- a/src/ragwortstand/platform/settings.py
+++ b/src/ragwortstand/platform/settings.py
@@ -107,6 +107,7 @@
 
         :raises SettingsError: when a value is missing or out of bounds.
         """
+        _parse_address(self.provider.address, '$.provider.address')
         outbound = _parse_address(self.listen.outbound)
         inbound = _parse_address(self.listen.inbound)
         return SidecarSettings(
@@ -178,9 +179,9 @@
         raise SettingsError([Fault('$', str(error))]) from error
 
 
-def _parse_address(address: str) -> Listen:
+def _parse_address(address: str, path: str = '$.listen') -> Listen:
     host, _, port = address.rpartition(':')
     if not host or not port.isdigit():
-        fault = Fault('$.listen', f'{address!r} is not host:port')
+        fault = Fault(path, f'{address!r} is not host:port')
         raise SettingsError([fault])
     return validated(Listen(address=host, port=int(port)))
--- a/src/ragwortstand/platform/store.py
+++ b/src/ragwortstand/platform/store.py
@@ -155,14 +155,8 @@
         log: EventLog,
     ) -> None:
         """Create the pool; connections are opened on first use."""
-        host, _, port = address.rpartition(':')
         self._host = address.encode()
-        self._pool = ConnectionPool(
-            HttptoolsConnection.connect,
-            Endpoint(host, int(port)),
-            _MAX_CONNECTIONS,
-            _MAX_RESPONSE_BYTES,
-        )
+        self._pool = _new_pool(address)
         self.metrics = metrics
         self._log = log
         self.is_reachable = True
@@ -175,6 +169,22 @@
         """Return the duration of the fastest recent call, or infinity."""
         return min(self._recent_calls_s, default=math.inf)
 
+    def move(self, address: str) -> bool:
+        """Send further calls to another address of the store.
+
+        Calls that wait for a response keep their connections.
+
+        :param address: ``host:port`` of the store.
+        :returns: whether the address is another one.
+        """
+        if self._host == address.encode():
+            return False
+        self._pool.close()
+        self._pool = _new_pool(address)
+        self._host = address.encode()
+        self._recent_calls_s.clear()
+        return True
+
     def close(self) -> None:
         """Close all idle connections."""
         self._pool.close()
@@ -257,11 +267,14 @@
         return answered
 
     async def _exchange(self, request: WireRequest, now_s: float) -> Answered:
-        connection = await self._pool.acquire(_IDLE_REUSE_S, now_s)
+        pool = self._pool
+        connection = await pool.acquire(_IDLE_REUSE_S, now_s)
         try:
             return await connection.exchange(request)
         finally:
-            self._pool.release(connection, clock.now_s())
+            pool.release(connection, clock.now_s())
+            if pool is not self._pool:
+                pool.close()
 
     def _check_status(self, answered: Answered, path: str) -> None:
         if answered.status != 200:
@@ -402,6 +415,11 @@
         self.on_reach = on_reach
         self.on_overdue: Callable[[], None] = _do_nothing
 
+    def restart(self) -> None:
+        """Read the row before the feed is followed again."""
+        self._position = None
+        self._skips_read = False
+
     async def head(self) -> VersionRecord | None:
         """Return the latest accepted version, None where there is none.
 
@@ -510,8 +528,9 @@
             _FEED_WAIT_S + _OVERDUE_S,
             is_repeated=False,
         )
-        if response is None or era != position.era:
-            # The position is of a history that the store does not have.
+        is_restarted = self._position is not position
+        if response is None or era != position.era or is_restarted:
+            # The position is of a history that the store may not have.
             await self._read_row()
             await anyio.sleep(_FEED_PAUSE_S)
             return
@@ -590,6 +609,16 @@
         self._client.metrics.version_refused_since_s.set(since_unix_s)
 
 
+def _new_pool(address: str) -> ConnectionPool:
+    host, _, port = address.rpartition(':')
+    return ConnectionPool(
+        HttptoolsConnection.connect,
+        Endpoint(host, int(port)),
+        _MAX_CONNECTIONS,
+        _MAX_RESPONSE_BYTES,
+    )
+
+
 def _do_nothing() -> None:
     """Ignore an event of the store."""
 
--- a/src/ragwortstand/sidecar.py
+++ b/src/ragwortstand/sidecar.py
@@ -183,8 +183,15 @@
 
         :param settings: the new settings.
         """
+        new_seeds = set(settings.seeds).difference(self._settings.seeds)
         self._settings = settings
         self._retries.budget = settings.retry_terms
+        self._backend_server.announcement_filter.timeout_s = (
+            settings.daemon.backend_server.announce_timeout_s
+        )
+        if self._tasks:
+            for seed in new_seeds:
+                self._tasks.start_soon(self._gossip.join, seed)
         self._log.emit(Event.RELOADED)
 
     async def announce(self, announcement: Announcement) -> None:
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -108,6 +108,8 @@
     store: StoreStandin
     lost: int = 0
     hosts: list[Host] = field(default_factory=list)
+    store_server: HttpServer | None = None
+    tasks: TaskGroup | None = None
 
     async def call(
         self,
@@ -148,6 +150,12 @@
             host, 'outbound', WireRequest('GET', path, headers, b'', name)
         )
 
+    async def add_store_address(self) -> tuple[HttpServer, str]:
+        """Serve the store at another address, too; return both."""
+        assert self.tasks is not None
+        server, port = await _start_store(self.store, self.tasks)
+        return server, f'127.0.0.1:{port}'
+
     def restart_all(self) -> None:
         """Kill all sidecars at the same time and start them again."""
         for host in self.hosts:
@@ -229,7 +237,9 @@
     fleet = Fleet(store)
     with tempfile.TemporaryDirectory() as folder:
         async with anyio.create_task_group() as tasks:
-            store_port = await _serve(store.answer, '127.0.0.1', tasks)
+            store_server, store_port = await _start_store(store, tasks)
+            fleet.store_server = store_server
+            fleet.tasks = tasks
             ports = dict(zip(names, free_ports(len(names)), strict=True))
             for number, service in enumerate(services, start=1):
                 host = await _start_host(
@@ -253,8 +263,17 @@
                 tasks.cancel_scope.cancel()
 
 
+async def _start_store(store, tasks) -> tuple[HttpServer, int]:
+    server = HttpServer(store.answer, CallerLimits, ListLog())
+    return server, await _start_server(server, '127.0.0.1', tasks)
+
+
 async def _serve(answer, address: str, tasks) -> int:
     server = HttpServer(answer, CallerLimits, ListLog())
+    return await _start_server(server, address, tasks)
+
+
+async def _start_server(server: HttpServer, address: str, tasks) -> int:
     listener = bind(address, 0)
     listener.listen()
     tasks.start_soon(server.serve, listener)
