--- a/tests/test_stops_while_requests_wait.py
+++ b/tests/test_stops_while_requests_wait.py
@@ -1,8 +1,10 @@
 """Planned stops of sidecar processes while requests wait for a slot."""
 
 import json
+import random
 import unittest
 from collections import Counter
+from collections.abc import Iterable
 from functools import partial
 
 import anyio
@@ -25,6 +27,7 @@
 _LOAD_BEFORE_S = 2.5
 _SERVICES = ['huvo', 'huvo', 'kafi', 'kafi']
 _BUDGET_MS = b'10000'
+_SEEDS = (1, 2, 3)
 _KINDS = {'/once/': 'non_idempotent', '/often/': 'idempotent'}
 
 
@@ -44,9 +47,15 @@
 class _Load:
     """Callers on several hosts that send more than the servers can run."""
 
-    def __init__(self, fleet: Fleet, callers: list[Host]) -> None:
+    def __init__(
+        self,
+        fleet: Fleet,
+        callers: list[Host],
+        interval_s: float = _INTERVAL_S,
+    ) -> None:
         self.fleet = fleet
         self.callers = callers
+        self.interval_s = interval_s
         self.statuses: Counter[int | None] = Counter()
         self.is_over = False
 
@@ -68,14 +77,14 @@
                 caller = self.callers[number % len(self.callers)]
                 path = list(_KINDS)[number // len(self.callers) % 2]
                 requests.start_soon(self._count, caller, path, f'r{number}')
-                await anyio.sleep(_INTERVAL_S)
+                await anyio.sleep(self.interval_s)
 
     async def _count(self, caller: Host, path: str, name: str) -> None:
         self.statuses[await self.send(caller, path, name)] += 1
 
 
-async def _until_exit(host: Host) -> None:
-    with anyio.fail_after(_GRACE_S + 2):
+async def _until_exit(host: Host, grace_s: float = _GRACE_S) -> None:
+    with anyio.fail_after(grace_s + 2):
         while host.process.poll() is None:  # noqa: ASYNC110
             await anyio.sleep(0.02)
 
@@ -85,6 +94,21 @@
         await anyio.sleep(0.05)
 
 
+async def _stop(host: Host, at_s: float, grace_s: float = _GRACE_S) -> None:
+    await anyio.sleep(at_s)
+    host.stop()
+    await _until_exit(host, grace_s)
+    assert host.process.returncode == 0
+
+
+async def _stop_all(
+    fleet: Fleet, stops: Iterable[tuple[float, int]], grace_s: float = _GRACE_S
+) -> None:
+    async with anyio.create_task_group() as stopping:
+        for at_s, number in stops:
+            stopping.start_soon(_stop, fleet.hosts[number], at_s, grace_s)
+
+
 class WaitingRequestTests(unittest.IsolatedAsyncioTestCase):
     """Stops at any host on the way of a request."""
 
@@ -108,7 +132,7 @@
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(load.run)
                 await anyio.sleep(_LOAD_BEFORE_S)
-                await self._stop_all(fleet, stops)
+                await _stop_all(fleet, stops)
                 load.is_over = True
             self.assertEqual(fleet.lost - before, 0, load.statuses)
             found = set(load.statuses) - {200, 503, None}
@@ -116,19 +140,6 @@
             self.assertGreater(load.statuses[200], 20)
             self.assertGreater(load.statuses[503], 0)
 
-    async def _stop_all(
-        self, fleet: Fleet, stops: tuple[tuple[float, int], ...]
-    ) -> None:
-        async with anyio.create_task_group() as stopping:
-            for at_s, number in stops:
-                stopping.start_soon(self._stop, fleet.hosts[number], at_s)
-
-    async def _stop(self, host: Host, at_s: float) -> None:
-        await anyio.sleep(at_s)
-        host.stop()
-        await _until_exit(host)
-        self.assertEqual(host.process.returncode, 0)
-
     async def _until_serving(self, load: _Load) -> None:
         paths = [
             (caller, path)
@@ -171,7 +182,7 @@
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(load.run)
                 await anyio.sleep(_LOAD_BEFORE_S)
-                tasks.start_soon(self._stop, caller, 0.1)
+                tasks.start_soon(_stop, caller, 0.1)
                 received = await self._send_pipelined(
                     caller, '/often/a', '/other/b', '/once/c', '/other/d'
                 )
@@ -200,3 +211,45 @@
                     received += await stream.receive()
             except anyio.EndOfStream:
                 return received
+
+
+class RandomStopTests(unittest.IsolatedAsyncioTestCase):
+    """Drawn grace periods, loads, hosts, and stops that overlap."""
+
+    async def play(self, seed: int) -> None:
+        """Stop up to three of four daemons under load; lose no request."""
+        rng = random.Random(seed)
+        grace_s = rng.choice((2.0, 3.0, 4.5, 6.0))
+        work_s = grace_s * rng.uniform(0.02, 0.25)
+        slots = rng.randrange(1, 5)
+        interval_s = work_s / (2 * slots) / rng.uniform(0.8, 3.0)
+        callers = rng.sample(range(4), rng.randrange(1, 5))
+        stops = [
+            (rng.uniform(0, grace_s), number)
+            for number in rng.sample(range(4), rng.randrange(1, 4))
+        ]
+        new_server = partial(
+            SimulatedBackendServer, slots=slots, delay_s=work_s
+        )
+        async with running_fleet(
+            _SERVICES, _row(), grace_s, new_server
+        ) as fleet:
+            hosts = [fleet.hosts[number] for number in callers]
+            load = _Load(fleet, hosts, max(interval_s, 0.01))
+            for host in hosts:
+                await _until_ok(load, host, '/once/')
+            before = fleet.lost
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(load.run)
+                await anyio.sleep(_LOAD_BEFORE_S)
+                await _stop_all(fleet, stops, grace_s)
+                load.is_over = True
+            story = (seed, grace_s, work_s, slots, callers, stops)
+            self.assertEqual(fleet.lost - before, 0, (story, load.statuses))
+            found = set(load.statuses) - {200, 503, None}
+            self.assertEqual(found, set(), (story, load.statuses))
+
+    async def test_no_request_is_lost(self) -> None:
+        for seed in _SEEDS:
+            with self.subTest(seed=seed):
+                await self.play(seed)
