--- a/tests/test_changed_store_address.py
+++ b/tests/test_changed_store_address.py
@@ -9,6 +9,7 @@
 from ragwortstand.exceptions import SettingsError
 from ragwortstand.http_server import CallerRequest, HttpServer
 from ragwortstand.metrics import Metrics
+from ragwortstand.models import CallerLimits
 from ragwortstand.platform.settings import load_node_settings
 from ragwortstand.platform.store import StoreClient, StoreVersions
 from ragwortstand.verdicts import Answered
@@ -18,7 +19,6 @@
 from tests.store_standin import StoreStandin
 from tests.test_platform_configuration import row_of
 from tests.test_platform_path import wait_until_serving
-from tests.test_platform_store import CallerLimits
 
 _SERVICES = ['huvo', 'huvo', 'kafi']
 # The time in which a changed file is read, and one for calls under way.
