--- a/src/ragwortstand/callers/proxy.py
+++ b/src/ragwortstand/callers/proxy.py
@@ -37,7 +37,8 @@
 # Retry delay while this daemon has no configuration: reading one from the
 # store or a peer takes well under this.
 _NO_CONFIGURATION_RETRY_S = 0.5
-# Shortest retry delay while this daemon stops.
+# Shortest retry delay while this daemon stops; before its callers are routed to
+# other hosts they would only be refused again.
 _LEAVING_RETRY_S = 0.3
 # Message of cancellations after which a request still gets a response.
 _EXIT = 'exit'
