--- a/src/ragwortstand/peers/forwarding.py
+++ b/src/ragwortstand/peers/forwarding.py
@@ -299,7 +299,7 @@
         return Done()
 
     def limit(self, request: LimitWork) -> Done:
-        """Refuse waiting requests that would outlast the daemon of their caller."""
+        """Refuse waiting requests that would outlast their caller's daemon."""
         now_s = clock.now_s()
         for request_id in request.request_ids:
             for run in self._runs.get(request_id, {}).values():
